--- a/trouttiller/decide.py
+++ b/lilacfront/rules.py
@@ -1,4 +1,4 @@
-"""Every decision of a trouttiller gateway. Settings, events and actions: trouttiller/interface.py.
+"""Every decision of a lilacfront gateway. Settings, events and actions: lilacfront/interface.py.
 
 In order: constants, state, membership, admission and pick, attempts, timers. Times are microseconds.
 """
@@ -10,7 +10,7 @@
 from collections import deque
 from itertools import chain, islice
 
-from trouttiller import interface as i
+from lilacfront import interface as i
 
 # ---- constants, each with its reason ------------------------------------------------------------
 GAIN = 0.8  # AM-C: the thesis' gamma 0.1 (7.3.1) times its ceiling of 8 s, for a ratio in place of seconds
--- a/trouttiller/wire.py
+++ b/lilacfront/wire.py
@@ -10,7 +10,7 @@
 from collections.abc import Iterator
 from typing import Any, BinaryIO
 
-from trouttiller import interface as i
+from lilacfront import interface as i
 
 HEADER = struct.Struct(">IIQ")
 REPLY_HEADER = struct.Struct(">I")
--- a/trouttiller/simhost.py
+++ b/lilacfront/wirehost.py
@@ -6,8 +6,8 @@
 import traceback
 from typing import BinaryIO
 
-from trouttiller import wire
-from trouttiller.decide import Gateway
+from lilacfront import wire
+from lilacfront.rules import Gateway
 
 
 class Host:
@@ -54,7 +54,7 @@
     try:
         serve(sys.stdin.buffer, sys.stdout.buffer)
     except wire.FrameError as problem:
-        print(f"trouttiller: {problem}", file=sys.stderr)
+        print(f"lilacfront: {problem}", file=sys.stderr)
         return 1
     return 0
 
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -5,8 +5,8 @@
 from dataclasses import replace
 from typing import Any
 
-from trouttiller import interface as i
-from trouttiller.decide import Gateway
+from lilacfront import interface as i
+from lilacfront.rules import Gateway
 
 SHORT = i.ClassSpec(aim_us=1_000_000, deadline_us=5_000_000, worth=1.0, threads=1, effect=i.Effect.SAFE)
 LONG = i.ClassSpec(aim_us=3_000_000, deadline_us=20_000_000, worth=4.0, threads=2, effect=i.Effect.SAFE)
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -3,8 +3,8 @@
 import pytest
 from helpers import SHORT, ask, ended, entries, finals, gateway, sends, settings
 
-from trouttiller import interface as i
-from trouttiller.wire import SettingsError, parse_settings
+from lilacfront import interface as i
+from lilacfront.wire import SettingsError, parse_settings
 
 S = 1_000_000
 
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -4,8 +4,8 @@
 
 from helpers import LONG, SHORT, ask, ended, entries, finals, gateway, sends, settings
 
-from trouttiller import interface as i
-from trouttiller.decide import Gateway
+from lilacfront import interface as i
+from lilacfront.rules import Gateway
 
 S = 1_000_000
 
--- a/tests/test_property.py
+++ b/tests/test_property.py
@@ -6,8 +6,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from trouttiller import interface as i
-from trouttiller.decide import Gateway
+from lilacfront import interface as i
+from lilacfront.rules import Gateway
 
 NEVER_RAN = (i.Result.TURNED_AWAY, i.Result.CONNECT_FAILED, i.Result.NEVER_SENT)
 CLASSES = (
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -4,7 +4,7 @@
 
 from helpers import KEYED, LIMITS, RULES, SHORT, UNSAFE, ask, ended, entries, finals, gateway, sends, settings
 
-from trouttiller import interface as i
+from lilacfront import interface as i
 
 S = 1_000_000
 
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -5,8 +5,8 @@
 
 from helpers import KEYED, LONG, RULES, SHORT, ask, ended, entries, gateway, sends, settings
 
-from trouttiller import interface as i
-from trouttiller.decide import BUSY_SHARE, Gateway
+from lilacfront import interface as i
+from lilacfront.rules import BUSY_SHARE, Gateway
 
 S = 1_000_000
 COLD = replace(RULES, overload_factor=2.5, cold_share=0.3, fall_us=1_500_000, warm_after_us=14 * S)
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -7,8 +7,8 @@
 
 import pytest
 
-from trouttiller import interface as i
-from trouttiller import wire
+from lilacfront import interface as i
+from lilacfront import wire
 
 
 def one(text: str, reader: wire.Reader | None = None):
@@ -151,7 +151,7 @@
 
 def pipe(data: bytes) -> subprocess.CompletedProcess[bytes]:
     return subprocess.run(
-        [sys.executable, "-m", "trouttiller.simhost"],
+        [sys.executable, "-m", "lilacfront.wirehost"],
         input=data,
         capture_output=True,
         timeout=20,
@@ -194,7 +194,7 @@
 def test_malformed_input_ends_with_one_line_and_a_code(data):
     done = pipe(data)
     assert done.returncode == 1
-    assert done.stderr.count(b"\n") == 1 and done.stderr.startswith(b"trouttiller: ")
+    assert done.stderr.count(b"\n") == 1 and done.stderr.startswith(b"lilacfront: ")
 
 
 def test_a_broken_module_is_reported_as_such():
