--- a/lilacfront/__init__.py
+++ b/lilacfront/__init__.py
@@ -1,5 +1,6 @@
-"""lilacfront: the decisions of a gateway in front of query engines with limited memory."""
+"""lilacfront: a gateway that places queries on engines with limited memory."""
 
 from lilacfront.rules import Gateway
 
 __all__ = ["Gateway"]
+__version__ = "0.1.0"
--- /dev/null
+++ b/lilacfront/core/__init__.py
@@ -0,0 +1,1 @@
+"""Requests, attempts and outcomes; knows no wire."""
--- /dev/null
+++ b/lilacfront/core/facade.py
@@ -0,0 +1,256 @@
+"""The decision module in blocking style: `pick`, `report`, `tick`. Its events and actions go no further.
+
+A request's own task calls `pick` and gets an engine, a refusal or a failure; it makes the attempt and calls
+`report` with the outcome; and again, until `pick` returns a final answer. When the decisions take an attempt
+back, the task is interrupted wherever it waits.
+"""
+
+from __future__ import annotations
+
+import heapq
+import logging
+import math
+from collections.abc import Callable, Mapping
+from itertools import count
+
+from lilacfront import interface as i
+from lilacfront.core.model import (
+    Choice,
+    Chosen,
+    Ending,
+    Engine,
+    Failed,
+    Final,
+    Note,
+    Outcome,
+    Refused,
+    Request,
+    Served,
+    Withdrawn,
+)
+from lilacfront.rules import Gateway
+from lilacfront.sched import Interrupted, Loop, Task
+
+log = logging.getLogger(__name__)
+
+RESULTS = {
+    Ending.SERVED: i.Result.OK,
+    Ending.TURNED_AWAY: i.Result.TURNED_AWAY,
+    Ending.ERROR: i.Result.ERROR,
+    Ending.NO_CONNECTION: i.Result.CONNECT_FAILED,
+    Ending.BROKEN: i.Result.RESET,
+    Ending.SILENT: i.Result.TIMEOUT,
+    Ending.GIVEN_UP: i.Result.CANCELLED,
+    Ending.NOT_SENT: i.Result.NEVER_SENT,
+}
+OVERDUE_S = 0.005  # past its deadline, a request that the decisions have not ended is failed here
+
+
+def result_of(outcome: Outcome) -> i.Result:
+    """What the module is told. What may have run is never told as never run."""
+    if not outcome.reach.never_ran or outcome.ending is Ending.TURNED_AWAY:
+        return RESULTS[outcome.ending]
+    if outcome.ending in (Ending.NO_CONNECTION, Ending.BROKEN):
+        return i.Result.CONNECT_FAILED
+    return i.Result.NEVER_SENT
+
+
+class Ticket:
+    """One request with the decisions. Its task is the only one that waits for them."""
+
+    def __init__(self, facade: Facade, number: int, request: Request, task: Task) -> None:
+        self.facade, self.number, self.request, self.task = facade, number, request, task
+        self.choice: Choice | None = None
+        self.sent: Chosen | None = None  # the attempt made last
+        self.out = self.picking = False
+        self.priority: int | None = None
+        self.detail = b""
+        self._bump: Callable[[int], None] | None = None
+
+    # ---- what an attempt under way tells and asks ---------------------------------------------------
+    def may_send(self, engine: Engine) -> bool:
+        return self.facade.may_send(engine)
+
+    def noted(self, note: Note) -> None:
+        self.facade.note(self, note)
+
+    def on_priority(self, change: Callable[[int], None]) -> None:
+        self._bump = change
+
+    def set_priority(self, priority: int) -> None:
+        changed = priority != self.priority
+        self.priority = priority
+        if changed and self.out and self._bump is not None:
+            self._bump(priority)
+
+
+class Facade:
+    """One gateway's decisions for the tasks of one loop."""
+
+    def __init__(self, loop: Loop, settings: i.Settings, seed: int) -> None:
+        self.loop, self.settings = loop, settings
+        self._gateway = Gateway(settings, seed)
+        self._tickets: dict[int, Ticket] = {}
+        self._numbers = count(1)
+        self._timers: list[tuple[int, int]] = []
+        self._ticker: Task | None = None
+        self._open: dict[int, Engine] = {}  # engines that may be sent to
+        self.on_shut: Callable[[int, bool], None] = lambda engine, gone: None
+        self._unmet: set[str] = set()
+
+    @property
+    def busy(self) -> int:
+        """Requests in hand."""
+        return len(self._tickets)
+
+    # ---- the list of engines ------------------------------------------------------------------------
+    def fleet(self, news: i.EngineList, addresses: Mapping[int, tuple[str, int]]) -> None:
+        """Take news of the list; `addresses` tells where its engines listen."""
+        shut: dict[int, bool] = {}
+        if news.scope is not i.ListScope.DELTA:
+            listed = {entry.engine for entry in news.entries}
+            shut.update((number, True) for number in self._open if number not in listed)
+        for entry in news.entries:
+            engine = Engine(entry.engine, addresses[entry.engine])
+            if entry.condition is not i.Condition.READY:
+                shut[entry.engine] = entry.condition is i.Condition.GONE
+                continue
+            if self._open.get(entry.engine, engine) != engine:
+                self.on_shut(entry.engine, True)  # the same engine at another address
+            self._open[entry.engine] = engine
+        for number in shut:
+            self._open.pop(number, None)
+        self._handle(news)
+        for number, gone in shut.items():
+            self.on_shut(number, gone)
+
+    def may_send(self, engine: Engine) -> bool:
+        """Whether a send decided earlier may still begin: asked again after every wait for a connection."""
+        return self._open.get(engine.number) == engine
+
+    # ---- a request ----------------------------------------------------------------------------------
+    def take(self, request: Request, task: Task) -> Ticket:
+        """Hand a request to the decisions; `pick` tells what they say."""
+        ticket = Ticket(self, next(self._numbers), request, task)
+        self._tickets[ticket.number] = ticket
+        left = max(0, int((request.deadline - self.loop.now) * 1e6))
+        self._handle(i.Request(ticket.number, request.cls, left, request.table_group))
+        return ticket
+
+    def pick(self, ticket: Ticket) -> Choice:
+        """Wait for the next word on a request: an engine to send it to, or its final answer."""
+        until = ticket.request.deadline + OVERDUE_S
+        ticket.picking = True
+        while ticket.choice is None:
+            if self.loop.wait(ticket.task, until) is None:
+                continue
+            if ticket.task.interrupted:
+                ticket.task.settle()  # word that concerned an attempt already over
+            elif ticket.choice is None:
+                # Guard: should the decisions owe an answer past the deadline, the client still gets one.
+                self.withdraw(ticket)
+                ticket.choice = Failed(late=True, detail=ticket.detail)
+        ticket.picking = False
+        choice, ticket.choice = ticket.choice, None
+        if isinstance(choice, Chosen):
+            ticket.sent, ticket.out = choice, True
+        else:
+            self._tickets.pop(ticket.number, None)
+        return choice
+
+    def report(self, ticket: Ticket, outcome: Outcome) -> None:
+        """Tell how the attempt ended; if it served the request, `pick` says so."""
+        assert ticket.sent is not None
+        ticket.detail = outcome.detail or ticket.detail
+        ticket.out, served = False, outcome.ending is Ending.SERVED
+        ended = ticket.choice is not None
+        if served and not ended:
+            ticket.choice = Served()
+        number, engine = ticket.sent.attempt, ticket.sent.engine.number
+        self._handle(
+            i.Outcome(
+                ticket.number, number, engine, result_of(outcome), 0, served or ended, report=outcome.report
+            )
+        )
+
+    def note(self, ticket: Ticket, note: Note) -> None:
+        """Pass on word of an attempt that is still out."""
+        if ticket.sent is not None and ticket.out:
+            sent = ticket.sent
+            self._handle(i.Note(ticket.number, sent.attempt, sent.engine.number, note.kind, note.value))
+
+    def withdraw(self, ticket: Ticket) -> None:
+        """The client is gone: nothing is owed any more, and what still runs for it is given up."""
+        if ticket.number in self._tickets:
+            self._settle(ticket, Withdrawn())
+            self._handle(i.ClientGone(ticket.number))
+            if ticket.out:
+                ticket.task.interrupt()
+
+    # ---- timers -------------------------------------------------------------------------------------
+    def tick(self) -> float:
+        """Run the timers that are due; returns when the next one is."""
+        now = self._now()
+        while self._timers and self._timers[0][0] <= now:
+            self._handle(i.Timer(heapq.heappop(self._timers)[1]))
+        return self._timers[0][0] / 1e6 if self._timers else math.inf
+
+    def run_timers(self, task: Task) -> None:
+        """The task that calls `tick` for as long as the program runs."""
+        self._ticker = task
+        while self.loop.wait(task, min(self.tick() + 1e-6, self.loop.now + 1.0)) is not Interrupted:
+            pass
+
+    # ---- actions ------------------------------------------------------------------------------------
+    def _now(self) -> int:
+        return int(self.loop.now * 1e6)
+
+    def _handle(self, event: i.Event) -> None:
+        for action in self._gateway.handle(self._now(), event):
+            self._do(action)
+
+    def _do(self, action: i.Action) -> None:
+        match action:
+            case i.SetTimer(at, token):
+                first = not self._timers or at < self._timers[0][0]
+                heapq.heappush(self._timers, (at, token))
+                if first and self._ticker is not None:
+                    self._ticker.wake(None)
+            case i.LogLine(text):
+                log.info("%s", text)
+            case i.SetTerms() | i.Send() | i.Refuse() | i.Fail() | i.Cancel():
+                if (ticket := self._tickets.get(action.request)) is not None:
+                    self._do_for(ticket, action)
+            case _:
+                name = type(action).__name__
+                if name not in self._unmet:
+                    self._unmet.add(name)
+                    log.warning("the decisions asked for %s, which this program does not offer", name)
+
+    def _do_for(self, ticket: Ticket, action: i.SetTerms | i.Send | i.Refuse | i.Fail | i.Cancel) -> None:
+        match action:
+            case i.SetTerms():
+                ticket.set_priority(action.priority)
+            case i.Send():
+                until = action.until_us / 1e6 if action.until_us else ticket.request.deadline
+                number = ticket.sent.attempt + 1 if ticket.sent is not None else 0
+                self._settle(ticket, Chosen(self._open[action.engine], number, ticket.priority, until))
+            case i.Refuse():
+                self._settle(ticket, Refused(action.retry_after_us // 1000))
+            case i.Fail():
+                late = self.loop.now >= ticket.request.deadline - OVERDUE_S
+                self._settle(ticket, Failed(late, ticket.detail))
+            case i.Cancel():
+                ticket.task.interrupt()
+
+    def _settle(self, ticket: Ticket, choice: Choice) -> None:
+        """Leave word for the ticket's task. A final answer already there stays the only one."""
+        if isinstance(ticket.choice, Final):
+            return
+        unsent, ticket.choice = ticket.choice, choice
+        if unsent is not None:
+            # Guard: a send that its task has not begun and never will; the decisions wait for its end.
+            number, engine = unsent.attempt, unsent.engine.number
+            self._handle(i.Outcome(ticket.number, number, engine, i.Result.NEVER_SENT, 0, True))
+        if ticket.picking:
+            ticket.task.wake(None)
--- /dev/null
+++ b/lilacfront/core/model.py
@@ -0,0 +1,148 @@
+"""Requests, attempts and outcomes. Errors are values that say how far an attempt had come."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+from enum import Enum, IntEnum
+from typing import Protocol
+
+from lilacfront.interface import LoadReport, NoteKind
+from lilacfront.sched import Task
+
+
+class Reach(IntEnum):
+    """How far an attempt came before it ended."""
+
+    NOT_CONNECTED = 0
+    UNWRITTEN = 1  # connected, nothing of it has left
+    PARTLY_WRITTEN = 2
+    WRITTEN = 3  # the engine may have all of it
+    ANSWERING = 4  # a part of the answer has come
+
+    @property
+    def never_ran(self) -> bool:
+        """Partly written counts as may have run: a streamed insert begins before its last byte."""
+        return self <= Reach.UNWRITTEN
+
+
+class Ending(Enum):
+    """How an attempt ended."""
+
+    SERVED = "served"
+    TURNED_AWAY = "turned away"  # the engine says that it never ran
+    ERROR = "error"  # the engine says that it failed; it may have run
+    NO_CONNECTION = "no connection"
+    BROKEN = "broken"  # the connection ended, or what came can't be read
+    SILENT = "silent"  # time was up
+    GIVEN_UP = "given up"  # taken back by the decisions or by the client
+    NOT_SENT = "not sent"  # the engine left the list, or time was up, before the first byte
+
+
+@dataclass(slots=True, frozen=True)
+class Outcome:
+    """The end of one attempt. `never_ran` holds only where that is proved."""
+
+    ending: Ending
+    reach: Reach
+    report: LoadReport | None = None
+    detail: bytes = b""
+
+    @property
+    def never_ran(self) -> bool:
+        return self.ending is Ending.TURNED_AWAY or self.reach.never_ran
+
+
+@dataclass(slots=True)
+class Request:
+    """One client's request. `extras` and `body` go on as they came; the rest is what decisions need."""
+
+    call: bytes
+    cls: int
+    deadline: float
+    body: bytes
+    table_group: int = 0
+    extras: Mapping[str, object] = field(default_factory=dict)
+
+
+@dataclass(slots=True, frozen=True)
+class Engine:
+    """An engine as attempts need it. A reused address is another engine."""
+
+    number: int
+    address: tuple[str, int]
+
+
+@dataclass(slots=True, frozen=True)
+class Note:
+    kind: NoteKind
+    value: float
+
+
+@dataclass(slots=True, frozen=True)
+class Chosen:
+    """Send the request to this engine now, at this priority, and give it up at `until`."""
+
+    engine: Engine
+    attempt: int
+    priority: int | None
+    until: float
+
+
+@dataclass(slots=True, frozen=True)
+class Refused:
+    """Final: trying again is harmless, after `pushback_ms` where that is above 0."""
+
+    pushback_ms: int
+
+
+@dataclass(slots=True, frozen=True)
+class Failed:
+    """Final: no word on what it did. `late`: the time for it was up."""
+
+    late: bool = False
+    detail: bytes = b""
+
+
+@dataclass(slots=True, frozen=True)
+class Served:
+    """Final: the whole result has been handed to the answer sink."""
+
+
+@dataclass(slots=True, frozen=True)
+class Withdrawn:
+    """The client is gone; nothing is owed."""
+
+
+Final = Refused | Failed | Served | Withdrawn
+Choice = Chosen | Final
+
+
+class Sink(Protocol):
+    """Where the answer of an attempt goes, in order, as it comes."""
+
+    def part(self, data: bytes) -> bool:
+        """Take a piece of the result; False: the client is gone."""
+        ...
+
+
+class Attempts(Protocol):
+    """What carries one attempt to its engine; how it went is told by the outcome alone."""
+
+    def attempt(self, task: Task, chosen: Chosen, request: Request, sink: Sink, watch: Watch) -> Outcome:
+        """Make the attempt; it is over, and given up wherever it may still run, when this returns."""
+        ...
+
+    def shut(self, engine: int, gone: bool) -> None:
+        """The engine drains or is gone: take back what has not begun to leave."""
+        ...
+
+
+class Watch(Protocol):
+    """What an attempt under way tells, and asks, the decisions."""
+
+    def may_send(self, engine: Engine) -> bool: ...
+
+    def noted(self, note: Note) -> None: ...
+
+    def on_priority(self, change: Callable[[int], None]) -> None: ...
--- /dev/null
+++ b/lilacfront/fronts/__init__.py
@@ -0,0 +1,1 @@
+"""What clients speak to."""
--- /dev/null
+++ b/lilacfront/membership/changelog.py
@@ -0,0 +1,84 @@
+"""The change log: numbered events over one TCP connection that is always made anew."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+
+import msgspec
+
+from lilacfront.membership.fleet import Fleet, ListError
+from lilacfront.sched import Loop, Stream, Task
+
+log = logging.getLogger(__name__)
+CONNECT_S = 0.5
+SILENT_S = 2.5  # a line comes every second; a log silent for longer has lost this connection
+AGAIN_S = 0.1  # between two connections
+LINE_MOST = 4 << 20
+
+
+class Event(msgspec.Struct):
+    """One event of the log. Kinds of events that are not known here bring no fleet."""
+
+    seq: int
+    fleet: Fleet | None = None
+
+
+class Known(msgspec.Struct):
+    """The log up to the start, from the configuration."""
+
+    seq: int = 0
+    results: list[Event] = []
+
+
+_LINE = msgspec.json.Decoder(Event | int)
+
+
+class ChangeLog:
+    """Follows the log from event `seq` on, telling `heard` of each event once, in order."""
+
+    def __init__(
+        self, loop: Loop, address: tuple[str, int], seq: int, heard: Callable[[Fleet], None]
+    ) -> None:
+        self.loop, self.address, self.seq, self.heard = loop, address, seq, heard
+
+    def run(self, task: Task) -> None:
+        while not task.interrupted:
+            made = Stream.connect(self.loop, task, self.address, self.loop.now + CONNECT_S, 1 << 16)
+            if isinstance(made, Stream):
+                try:
+                    self._follow(task, made)
+                except (msgspec.MsgspecError, ListError, UnicodeDecodeError) as problem:
+                    log.warning("change log: %s", problem)
+                finally:
+                    made.close()
+            self.loop.sleep(task, self.loop.now + AGAIN_S)
+
+    def _follow(self, task: Task, stream: Stream) -> None:
+        """Take events until the connection ends, falls silent, or turns out to have left one out."""
+        stream.write(b"since %d\n" % self.seq)
+        rest = b""
+        while True:
+            got = stream.read(task, self.loop.now + SILENT_S)
+            if not isinstance(got, bytes) or not got:
+                return
+            *lines, rest = (rest + got).split(b"\n")
+            if len(rest) > LINE_MOST:
+                log.warning("change log: a line over %d bytes", LINE_MOST)
+                return
+            for line in filter(None, (one.strip() for one in lines)):
+                if not self._take(_LINE.decode(line)):
+                    return
+
+    def _take(self, line: Event | int) -> bool:
+        """False where an event is missing: a new connection with `since` brings it."""
+        if isinstance(line, int):
+            return line <= self.seq
+        if line.seq <= self.seq:
+            return True
+        if line.seq != self.seq + 1:
+            return False
+        if line.fleet is not None:
+            self.heard(line.fleet)
+        self.seq = line.seq
+        return True
--- /dev/null
+++ b/lilacfront/membership/fleet.py
@@ -0,0 +1,79 @@
+"""What a list of warehouses says, in the module's terms. Shared by every source of such a list."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from hashlib import blake2b
+
+import msgspec
+
+from lilacfront.interface import Condition, EngineEntry, EngineList, ListScope
+
+CONDITIONS = {"ready": Condition.READY, "draining": Condition.DRAINING, "gone": Condition.GONE}
+
+
+class Instance(msgspec.Struct, rename="camel"):
+    """One warehouse as the change log and etcd tell of it."""
+
+    instance_id: str
+    host_port: str
+    lifecycle: str = "ready"
+    zone: str = ""
+    machine_type: str = ""
+    cell: int = 0
+    weight: float = 1.0
+    started_at_ms: float = 0
+
+
+class Fleet(msgspec.Struct):
+    generation: int = 0
+    reset: bool = False
+    instances: list[Instance] = []
+
+
+class ListError(ValueError):
+    """An entry that can't be used; the text names what is wrong."""
+
+
+def parse_address(text: str) -> tuple[str, int]:
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+        raise ListError(f"{text!r} is not HOST:PORT")
+    return host, int(port)
+
+
+def engine_number(instance_id: str) -> int:
+    """The same for an id at every gateway, so that all share one hash order."""
+    return int.from_bytes(blake2b(instance_id.encode(), digest_size=8).digest(), "big")
+
+
+@dataclass(slots=True)
+class Roster:
+    """Names of zones and kinds as the settings number them, and the addresses told so far."""
+
+    zones: list[str]
+    kinds: list[str]
+    addresses: dict[int, tuple[str, int]] = field(default_factory=dict)
+
+    def news(self, fleet: Fleet) -> tuple[EngineList, Mapping[int, tuple[str, int]]]:
+        entries = tuple(self._entry(one) for one in fleet.instances)
+        scope = ListScope.FULL if fleet.reset else ListScope.DELTA
+        return EngineList(scope, entries, fleet.generation), self.addresses
+
+    def _entry(self, one: Instance) -> EngineEntry:
+        number = engine_number(one.instance_id)
+        condition = CONDITIONS.get(one.lifecycle)
+        if condition is None:
+            raise ListError(f"lifecycle {one.lifecycle!r} of {one.instance_id}")
+        if condition is not Condition.GONE or number not in self.addresses:
+            self.addresses[number] = parse_address(one.host_port)
+        return EngineEntry(
+            number,
+            condition,
+            int(one.started_at_ms * 1000),
+            one.cell,
+            self.kinds.index(one.machine_type) if one.machine_type in self.kinds else 0,
+            self.zones.index(one.zone) if one.zone in self.zones else 0,
+            one.weight,
+        )
--- /dev/null
+++ b/lilacfront/protocols/__init__.py
@@ -0,0 +1,1 @@
+"""Incremental parsers and writers, free of input and output."""
--- /dev/null
+++ b/lilacfront/sched/loop.py
@@ -0,0 +1,166 @@
+"""A loop of greenlets over select.poll. Every wait has a deadline; interrupting its task ends it early.
+
+A wait returns a value that says how it ended; nothing here raises to tell that time is up.
+Times are seconds of `Loop.now`, which runs with the monotonic clock and starts at the Unix time, so that it
+can be compared with what other machines say and never jumps.
+"""
+
+from __future__ import annotations
+
+import heapq
+import logging
+import select
+import socket
+import time
+from collections import deque
+from collections.abc import Callable
+from enum import Enum
+from itertools import count
+from typing import Any, Final
+
+import greenlet
+
+log = logging.getLogger(__name__)
+POLL_MOST = 1.0  # seconds a poll lasts at most, so that a lost wake-up could not stall the program
+
+
+class Wait(Enum):
+    """How a wait ended that brought nothing."""
+
+    TIMED_OUT = "timed out"
+    INTERRUPTED = "interrupted"
+
+
+TimedOut: Final = Wait.TIMED_OUT
+Interrupted: Final = Wait.INTERRUPTED
+
+
+class Task:
+    """One greenlet. `interrupt` ends its present wait, or else its next one."""
+
+    __slots__ = ("_glet", "interrupted", "loop", "waiting")
+
+    def __init__(self, loop: Loop, run: Callable[..., None], args: tuple[Any, ...]) -> None:
+        self.loop, self.interrupted, self.waiting = loop, False, 0
+        self._glet = greenlet.greenlet(lambda _: self._run(run, args), loop.hub)
+
+    def _run(self, run: Callable[..., None], args: tuple[Any, ...]) -> None:
+        try:
+            run(self, *args)
+        except Exception:
+            # Guard: a fault in one connection's or request's code must not take the others with it.
+            log.exception("a task failed")
+
+    def interrupt(self) -> None:
+        self.interrupted = True
+        self.wake(Interrupted)
+
+    def settle(self) -> None:
+        """The interruption has been seen; later waits run to their own ends."""
+        self.interrupted = False
+
+    def wake(self, value: object, ticket: int | None = None) -> None:
+        """End the present wait with `value`; nothing if there is none, or it is not the one of `ticket`."""
+        if self.waiting and ticket in (None, self.waiting):
+            self.waiting = 0
+            self.loop.ready.append((self, value))
+
+    def switch(self, value: object) -> None:
+        self._glet.switch(value)
+
+
+class Loop:
+    """Runs tasks until `stop`. One loop a process; all of its methods belong to its own thread."""
+
+    def __init__(self) -> None:
+        self.hub = greenlet.getcurrent()
+        self._offset = time.time() - time.monotonic()
+        self.now = time.time()
+        self.ready: deque[tuple[Task, object]] = deque()
+        self.dirty: dict[Callable[[], None], None] = {}  # flushes due at the end of this turn, in order
+        self._poll = select.poll()
+        self._watched: dict[int, Callable[[int], None]] = {}
+        self._timers: list[tuple[float, int, Callable[[], None]]] = []
+        self._tickets = count(1)
+        self._stopping = False
+        self._wake_in, self.wake_out = socket.socketpair()
+        for end in (self._wake_in, self.wake_out):
+            end.setblocking(False)
+        self.watch(self._wake_in.fileno(), select.POLLIN, lambda _: self._drain_wakes())
+
+    def _drain_wakes(self) -> None:
+        try:
+            while self._wake_in.recv(4096):
+                pass
+        except BlockingIOError:
+            pass
+
+    def clock(self) -> float:
+        self.now = time.monotonic() + self._offset
+        return self.now
+
+    # ---- tasks and waits --------------------------------------------------------------------------
+    def spawn(self, run: Callable[..., None], *args: Any) -> Task:
+        """Start `run(task, *args)` in a task of its own, within this turn."""
+        task = Task(self, run, args)
+        self.ready.append((task, None))
+        return task
+
+    def wait(self, task: Task, until: float, arm: Callable[[int], None] | None = None) -> object:
+        """Park the running `task` until something wakes it, it is interrupted, or `until` is reached."""
+        if task.interrupted:
+            return Interrupted
+        if until <= self.now:
+            return TimedOut
+        ticket = task.waiting = next(self._tickets)
+        if arm is not None:
+            arm(ticket)
+        self.at(until, lambda: task.wake(TimedOut, ticket))
+        return self.hub.switch()
+
+    def sleep(self, task: Task, until: float) -> Wait:
+        self.wait(task, until)
+        return Interrupted if task.interrupted else TimedOut
+
+    def at(self, when: float, call: Callable[[], None]) -> None:
+        heapq.heappush(self._timers, (when, next(self._tickets), call))
+
+    # ---- descriptors ------------------------------------------------------------------------------
+    def watch(self, fd: int, events: int, call: Callable[[int], None]) -> None:
+        """Have `call` told what poll says of `fd`; an earlier watch of it is replaced."""
+        self._watched[fd] = call
+        self._poll.register(fd, events)
+
+    def unwatch(self, fd: int) -> None:
+        if self._watched.pop(fd, None) is not None:
+            self._poll.unregister(fd)
+
+    # ---- the loop ---------------------------------------------------------------------------------
+    def stop(self) -> None:
+        self._stopping = True
+
+    def run(self) -> None:
+        while not self._stopping:
+            self.turn(POLL_MOST)
+
+    def turn(self, most: float) -> None:
+        """Wait for what comes next, `most` seconds at most, then run all that is ready."""
+        if self.ready or self.dirty:
+            most = 0.0
+        elif self._timers:
+            most = min(most, max(0.0, self._timers[0][0] - self.clock()))
+        events = self._poll.poll(int(most * 1000) + (most > 0))
+        self.clock()
+        for fd, what in events:
+            call = self._watched.get(fd)  # an earlier call of this turn may have closed it
+            if call is not None:
+                call(what)
+        while self._timers and self._timers[0][0] <= self.now:
+            heapq.heappop(self._timers)[2]()
+        while self.ready:
+            task, value = self.ready.popleft()
+            task.switch(value)
+        while self.dirty:
+            flushes, self.dirty = self.dirty, {}
+            for flush in flushes:
+                flush()
--- /dev/null
+++ b/lilacfront/server.py
@@ -0,0 +1,81 @@
+"""Puts the parts together and runs them until the process is told to end."""
+
+from __future__ import annotations
+
+import gc
+import logging
+import math
+import signal
+
+from lilacfront.config import Config
+from lilacfront.core.facade import Facade
+from lilacfront.fronts.platform import PlatformFront
+from lilacfront.membership.changelog import ChangeLog
+from lilacfront.membership.fleet import Fleet, Roster
+from lilacfront.sched import Loop, Task
+from lilacfront.warehouses.resp import RespWarehouses
+
+log = logging.getLogger(__name__)
+LEAVE_S = 0.8  # after SIGTERM new connections and requests still come; later than this none does
+
+
+class Server:
+    """One front end."""
+
+    def __init__(self, config: Config) -> None:
+        self.config, self.loop, self.leaving_at = config, Loop(), math.inf
+        settings = config.settings
+        self.facade = Facade(self.loop, settings, config.seed)
+        self.roster = Roster(config.zones, config.kinds)
+        share = max(1, config.sockets // 3)
+        self.attempts = RespWarehouses(
+            self.loop,
+            tuple(name.encode() for name in config.class_names),
+            config.streams,
+            config.connect_s,
+            config.idle_s,
+            share,
+        )
+        self.facade.on_shut = self.attempts.shut
+        for event in config.known.results:
+            if event.fleet is not None:
+                self.heard(event.fleet)
+        classes = {
+            name.encode(): (n, settings.classes[n].deadline_us / 1e6)
+            for n, name in enumerate(config.class_names)
+        }
+        self.front = PlatformFront(
+            self.loop, self.facade, self.attempts, classes, lambda: self.leaving_at == math.inf
+        )
+        self.listener = self.front.listen(config.listen, share)
+        self.loop.spawn(self.facade.run_timers)
+        if config.changelog is not None:
+            self.loop.spawn(ChangeLog(self.loop, config.changelog, config.known.seq, self.heard).run)
+
+    def heard(self, fleet: Fleet) -> None:
+        news, addresses = self.roster.news(fleet)
+        self.facade.fleet(news, addresses)
+
+    def leave(self) -> None:
+        """Begin to end: `ping` answers not good, the rest goes on until all that comes is answered."""
+        if self.leaving_at == math.inf:
+            self.leaving_at = self.loop.clock() + LEAVE_S
+            self.loop.spawn(self._leave)
+
+    def _leave(self, task: Task) -> None:
+        self.loop.sleep(task, self.leaving_at)
+        self.listener.close()
+        while self.facade.busy:
+            self.loop.sleep(task, self.loop.now + 0.02)
+        self.loop.sleep(task, self.loop.now + 0.05)  # the last answers leave
+        self.loop.stop()
+
+    def run(self) -> None:
+        signal.signal(signal.SIGTERM, lambda *_: self.leave())
+        signal.signal(signal.SIGINT, lambda *_: self.leave())
+        signal.set_wakeup_fd(self.loop.wake_out.fileno(), warn_on_full_buffer=False)
+        gc.collect()
+        gc.freeze()  # what the start made stays: later collections need not walk it
+        log.warning("%s serves at %s:%d", self.config.name or "lilacfront", *self.listener.address)
+        self.loop.run()
+        log.warning("ends with nothing left open")
--- /dev/null
+++ b/lilacfront/warehouses/__init__.py
@@ -0,0 +1,1 @@
+"""How attempts reach engines."""
--- /dev/null
+++ b/lilacfront/warehouses/resp.py
@@ -0,0 +1,335 @@
+"""Attempts on warehouses that speak RESP: many requests a connection, results in pages.
+
+Every attempt ends with an Outcome that says how far it came; nothing here decides what follows from it.
+"""
+
+from __future__ import annotations
+
+import logging
+from dataclasses import dataclass
+from enum import Enum
+
+from lilacfront.core.model import Chosen, Ending, Engine, Note, Outcome, Reach, Request, Sink, Watch
+from lilacfront.interface import LoadReport, NoteKind
+from lilacfront.protocols import resp
+from lilacfront.sched import Chunk, Interrupted, Loop, Stream, Task, Wait
+from lilacfront.sched.mailbox import Gate, Mailbox
+
+log = logging.getLogger(__name__)
+RESULT_MOST = 48_000  # bytes of a whole result
+PAGES_MOST = 64
+PAGE_S = 1.0  # a page that takes longer is lost: its warehouse has gone silent
+IDLE_SHARE = 0.8  # of the time after which warehouses close idle connections: closing first avoids the race
+UNDONE_S = 30.0  # an answer to what was given up comes no later than this
+QUEUED_MOST = 1 << 20  # bytes for a warehouse that does not read
+NOTES = {b"so_far": NoteKind.PROGRESS, b"lacking": NoteKind.SPILLS}
+
+
+class Broken(Enum):
+    """What a connection tells its attempts besides answers."""
+
+    ENDED = "the connection ended"
+    TAKEN_BACK = "taken back before its first byte"
+
+
+@dataclass(slots=True)
+class Reply:
+    word: bytes
+    fields: dict[bytes, bytes]
+    body: bytes
+
+
+@dataclass(slots=True)
+class Open:
+    """An attempt on a connection."""
+
+    chunk: Chunk
+    inbox: Mailbox[Reply | Broken]
+
+
+def parse_fields(raw: bytes) -> dict[bytes, bytes]:
+    if raw == b"-":
+        return {}
+    return dict((name, value) for name, _, value in (part.partition(b"=") for part in raw.split(b",")))
+
+
+def number(text: bytes) -> float | None:
+    """A figure from a warehouse; None where it is not one."""
+    try:
+        value = float(text)
+    except ValueError:
+        return None
+    return value if abs(value) < 1e12 else None
+
+
+def parse_report(raw: bytes | None) -> LoadReport | None:
+    """`inflight:7;util:0.61` as the decisions take it."""
+    if raw is None:
+        return None
+    named = {name: number(value) for name, _, value in (part.partition(b":") for part in raw.split(b";"))}
+    busy, held, waiting = (
+        next((named[name] for name in names if name in named), None)
+        for names in ((b"util", b"cpu"), (b"inflight", b"active"), (b"queue", b"waiting"))
+    )
+    return LoadReport(busy, held, waiting)
+
+
+def parse_note(fields: dict[bytes, bytes]) -> Note | None:
+    why, value = fields.get(b"why", b""), number(fields.get(b"v", b""))
+    if value is None:
+        return None
+    if why == b"waiting":
+        return Note(NoteKind.WAITS_LOAD if value == 2 else NoteKind.WAITS_MEMORY, value)
+    return Note(NOTES[why], value) if why in NOTES else None
+
+
+class Connection:
+    """One connection to one warehouse, from the first wish for it to its end."""
+
+    def __init__(self, loop: Loop, engine: Engine, connect_s: float, idle_s: float) -> None:
+        self.loop, self.engine, self.idle_s = loop, engine, idle_s
+        self.ready, self.closed = Gate(loop), False
+        self.stream: Stream | None = None
+        self.open: dict[bytes, Open] = {}
+        self.undone: dict[bytes, float] = {}  # given up here: a late answer may still come
+        self.awaited = 0  # attempts that wait for the connection
+        self.idle_since = loop.now
+        loop.spawn(self._run, connect_s)
+
+    @property
+    def load(self) -> int:
+        return len(self.open) + self.awaited
+
+    def _run(self, task: Task, connect_s: float) -> None:
+        try:
+            made = Stream.connect(
+                self.loop, task, self.engine.address, self.loop.now + connect_s, QUEUED_MOST
+            )
+            if isinstance(made, Stream):
+                self.stream = made
+                self.idle_since = self.loop.now
+                self.ready.set()
+                self._read(task, made)
+        finally:
+            self.close()
+
+    def _read(self, task: Task, stream: Stream) -> None:
+        parser = resp.Parser()
+        while not stream.closed:
+            idle_until = self.idle_since + self.idle_s
+            got = stream.read(task, idle_until if not self.open else self.loop.now + self.idle_s)
+            if isinstance(got, Wait):
+                if not self.load and self.loop.now >= self.idle_since + self.idle_s:
+                    return
+                continue
+            if not got:
+                return
+            try:
+                for words in parser.feed(got):
+                    self._take(words)
+            except resp.RespError as problem:
+                log.warning("warehouse %s:%d: %s", *self.engine.address, problem)
+                return
+
+    def _take(self, words: list[bytes]) -> None:
+        if len(words) != 4:
+            raise resp.RespError(f"an answer of {len(words)} words")
+        call, word, fields, body = words
+        # Guard: an answer to what was given up, or to what was never asked, belongs to nobody.
+        if (found := self.open.get(call)) is not None:
+            found.inbox.put(Reply(word, parse_fields(fields), body))
+
+    def begin(self, call: bytes, command: bytes) -> Open:
+        assert self.stream is not None
+        found = self.open[call] = Open(self.stream.write(command), Mailbox(self.loop))
+        return found
+
+    def end(self, call: bytes, last_words: bytes | None) -> None:
+        """The attempt is over. `last_words` go out at once, before any other attempt can begin elsewhere."""
+        found = self.open.pop(call, None)
+        self.idle_since = self.loop.now
+        if found is None or last_words is None or self.stream is None or self.closed:
+            return
+        if found.chunk.withdraw():
+            return
+        now = self.loop.now
+        while self.undone and next(iter(self.undone.values())) < now - UNDONE_S:
+            del self.undone[next(iter(self.undone))]
+        self.undone[call] = now
+        chunk = self.stream.write(resp.encode(last_words, call))
+        self.stream.flush()
+        if not chunk.whole:
+            # Guard: the warehouse no longer reads and can't hear that this was given up; closing says it.
+            self.close()
+
+    def take_back(self) -> None:
+        """No send may begin any more: what has not begun to leave is taken back."""
+        for found in self.open.values():
+            if found.chunk.withdraw():
+                found.inbox.put(Broken.TAKEN_BACK)
+
+    def close(self) -> None:
+        if self.closed:
+            return
+        self.closed = True
+        if self.stream is not None:
+            self.stream.close()
+        self.ready.set()
+        for found in self.open.values():
+            found.inbox.put(Broken.ENDED)
+
+
+class RespWarehouses:
+    """The connections to all warehouses, and the attempts on them."""
+
+    def __init__(
+        self,
+        loop: Loop,
+        class_names: tuple[bytes, ...],
+        streams: int,
+        connect_s: float,
+        idle_s: float,
+        most_connections: int,
+    ) -> None:
+        self.loop, self.class_names, self.streams = loop, class_names, streams
+        self.connect_s, self.idle_s, self.most = connect_s, idle_s * IDLE_SHARE, most_connections
+        self._pools: dict[int, list[Connection]] = {}
+
+    def shut(self, engine: int, gone: bool) -> None:
+        for connection in list(self._pools.get(engine, ())):
+            connection.take_back()
+            if gone:
+                # Guard: a machine that vanished says nothing; what is open on it will never be answered.
+                connection.close()
+        if gone:
+            self._pools.pop(engine, None)
+
+    def _connection(self, engine: Engine, call: bytes) -> Connection | None:
+        """A connection with room that holds nothing of this request, made if need be."""
+        for number in list(self._pools):
+            self._pools[number] = [c for c in self._pools[number] if not c.closed]
+        pool = self._pools.setdefault(engine.number, [])
+        fit = [
+            c
+            for c in pool
+            if c.engine == engine and c.load < self.streams and call not in c.undone and call not in c.open
+        ]
+        if fit:
+            return max(fit, key=lambda c: (c.ready.open, c.load))
+        if sum(map(len, self._pools.values())) >= self.most:
+            return None
+        pool.append(Connection(self.loop, engine, self.connect_s, self.idle_s))
+        return pool[-1]
+
+    def attempt(self, task: Task, chosen: Chosen, request: Request, sink: Sink, watch: Watch) -> Outcome:
+        connection = self._connection(chosen.engine, request.call)
+        if connection is None:
+            return Outcome(Ending.NO_CONNECTION, Reach.NOT_CONNECTED)
+        connection.awaited += 1
+        waited = connection.ready.wait(task, chosen.until)
+        connection.awaited -= 1
+        if waited is not None:
+            given_up = waited is Interrupted
+            return Outcome(Ending.GIVEN_UP if given_up else Ending.NOT_SENT, Reach.NOT_CONNECTED)
+        if connection.closed:
+            return Outcome(Ending.NO_CONNECTION, Reach.NOT_CONNECTED)
+        ttl = int((chosen.until - self.loop.now) * 1000)
+        # Guard: the engine may have begun to drain, or left, while the connection came up.
+        if ttl <= 0 or not watch.may_send(chosen.engine):
+            return Outcome(Ending.NOT_SENT, Reach.UNWRITTEN)
+        fields = b"lane=%s,ttl=%d" % (self.class_names[request.cls], ttl)
+        if chosen.priority is not None:
+            fields += b",prio=%d" % chosen.priority
+        command = resp.encode(b"do", request.call, fields, request.body)
+        return _Attempt(connection, request.call, command).run(task, chosen.until, sink, watch)
+
+
+class _Attempt:
+    """One attempt on a connection that is up."""
+
+    def __init__(self, connection: Connection, call: bytes, command: bytes) -> None:
+        self.connection, self.call = connection, call
+        self.entry = connection.begin(call, command)
+        self.report: LoadReport | None = None
+        self.pages: dict[int, bytes] = {}
+        self.wanted = 0  # pages of the whole result, once known
+
+    def run(self, task: Task, until: float, sink: Sink, watch: Watch) -> Outcome:
+        watch.on_priority(self._bump)
+        outcome: Outcome | None = None
+        try:
+            while outcome is None:
+                limit = min(until, self.connection.loop.now + PAGE_S) if self.wanted else until
+                got = self.entry.inbox.get(task, limit)
+                outcome = self._ended(got) if isinstance(got, Wait | Broken) else self._take(got, sink, watch)
+        finally:
+            self.connection.end(self.call, self._last_words(outcome))
+        return outcome
+
+    def _bump(self, priority: int) -> None:
+        if self.connection.stream is not None and not self.connection.closed:
+            self.connection.stream.write(resp.encode(b"bump", self.call, b"%d" % priority))
+
+    def _last_words(self, outcome: Outcome | None) -> bytes | None:
+        """What the warehouse must still hear: nothing, where it knows that this is over."""
+        if self.wanted:
+            return b"forget" if len(self.pages) < self.wanted else None
+        told = outcome is not None and outcome.ending in (Ending.SERVED, Ending.TURNED_AWAY, Ending.ERROR)
+        return None if told else b"undo"
+
+    def _reach(self) -> Reach:
+        if self.wanted:
+            return Reach.ANSWERING
+        chunk = self.entry.chunk
+        if chunk.withdraw():
+            return Reach.UNWRITTEN
+        return Reach.WRITTEN if chunk.whole else Reach.PARTLY_WRITTEN
+
+    def _ended(self, why: Wait | Broken) -> Outcome:
+        reach = self._reach()
+        if why is Broken.ENDED:
+            return Outcome(Ending.BROKEN, reach, self.report)
+        if why is Broken.TAKEN_BACK:
+            return Outcome(Ending.NOT_SENT, reach, self.report)
+        return Outcome(Ending.GIVEN_UP if why is Interrupted else Ending.SILENT, reach, self.report)
+
+    def _error(self, detail: bytes) -> Outcome:
+        return Outcome(Ending.ERROR, Reach.ANSWERING, self.report, detail)
+
+    def _take(self, reply: Reply, sink: Sink, watch: Watch) -> Outcome | None:
+        self.report = parse_report(reply.fields.get(b"rep")) or self.report
+        match reply.word:
+            case b"HIT" if not self.wanted:
+                return self._first_page(reply, sink)
+            case b"PART" if self.wanted:
+                return self._page(number(reply.fields.get(b"page", b"")), reply.body, sink)
+            case b"INFO":
+                if (note := parse_note(reply.fields)) is not None:
+                    watch.noted(note)
+                return None
+            case b"SHED" | b"LATE" if not self.wanted:
+                return Outcome(Ending.TURNED_AWAY, Reach.WRITTEN, self.report)
+            case b"FAULT":
+                return self._error(reply.body[:200])
+        return self._error(b"an answer that makes no sense here: " + reply.word[:20])
+
+    def _first_page(self, reply: Reply, sink: Sink) -> Outcome | None:
+        pages = number(reply.fields.get(b"pages", b"1"))
+        if pages is None or pages != int(pages) or not 1 <= pages <= PAGES_MOST:
+            return self._error(b"a result of no sensible number of pages")
+        self.wanted = int(pages)
+        asks = b"".join(resp.encode(b"page", self.call, b"%d" % n) for n in range(1, self.wanted))
+        if asks and self.connection.stream is not None:
+            self.connection.stream.write(asks)
+        return self._page(0, reply.body, sink)
+
+    def _page(self, page: float | None, body: bytes, sink: Sink) -> Outcome | None:
+        if page is None or page != int(page) or not 0 <= page < self.wanted or int(page) in self.pages:
+            return self._error(b"a page that was not asked for")
+        self.pages[int(page)] = body
+        if sum(map(len, self.pages.values())) > RESULT_MOST:
+            return self._error(b"a result over the most that one may hold")
+        if len(self.pages) < self.wanted:
+            return None
+        sink.part(b"".join(self.pages[n] for n in range(self.wanted)))
+        return Outcome(Ending.SERVED, Reach.ANSWERING, self.report)
