--- a/lilacfront/core/facade.py
+++ b/lilacfront/core/facade.py
@@ -158,18 +158,33 @@
             self._tickets.pop(ticket.number, None)
         return choice
 
-    def report(self, ticket: Ticket, outcome: Outcome) -> None:
-        """Tell how the attempt ended; if it served the request, `pick` says so."""
+    def started(self, ticket: Ticket) -> None:
+        """A part of the answer has gone on to the client: the attempt can't be taken back any more."""
+        if ticket.sent is not None and ticket.out:
+            sent = ticket.sent
+            self._handle(i.StreamStarted(ticket.number, sent.attempt, sent.engine.number))
+
+    def report(self, ticket: Ticket, outcome: Outcome, begun: bool = False) -> None:
+        """Tell how the attempt ended; if that ends the request, `pick` says so.
+
+        Guard: once a part of the answer has gone on (`begun`), whatever breaks it ends the request, too.
+        """
         assert ticket.sent is not None
         ticket.detail = outcome.detail or ticket.detail
         ticket.out, served = False, outcome.ending is Ending.SERVED
         ended = ticket.choice is not None
-        if served and not ended:
-            ticket.choice = Served()
+        if not ended and (served or begun):
+            ticket.choice = Served() if served else Failed(detail=ticket.detail)
         number, engine = ticket.sent.attempt, ticket.sent.engine.number
         self._handle(
             i.Outcome(
-                ticket.number, number, engine, result_of(outcome), 0, served or ended, report=outcome.report
+                ticket.number,
+                number,
+                engine,
+                result_of(outcome),
+                0,
+                served or begun or ended,
+                report=outcome.report,
             )
         )
 
--- a/lilacfront/core/lifecycle.py
+++ b/lilacfront/core/lifecycle.py
@@ -15,6 +15,7 @@
         if ticket.task.interrupted:  # taken back before it could begin
             outcome = Outcome(Ending.GIVEN_UP, Reach.UNWRITTEN)
         else:
+            sink.clear()
             outcome = attempts.attempt(ticket.task, choice, ticket.request, sink, ticket)
         ticket.task.settle()
-        facade.report(ticket, outcome)
+        facade.report(ticket, outcome, sink.begun)
--- a/lilacfront/core/model.py
+++ b/lilacfront/core/model.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Mapping
-from dataclasses import dataclass, field
+from collections.abc import Callable
+from dataclasses import dataclass
 from enum import Enum, IntEnum
 from typing import Protocol
 
@@ -62,7 +62,7 @@
     deadline: float
     body: bytes
     table_group: int = 0
-    extras: Mapping[str, object] = field(default_factory=dict)
+    extras: object = None  # what a front leaves for warehouses of its own kind
 
 
 @dataclass(slots=True, frozen=True)
@@ -121,8 +121,21 @@
 class Sink(Protocol):
     """Where the answer of an attempt goes, in order, as it comes."""
 
+    @property
+    def begun(self) -> bool:
+        """Whether a part has gone on to the client: from then on no other attempt can take over."""
+        ...
+
+    def clear(self) -> None:
+        """Another attempt begins: forget what is held of the last one."""
+        ...
+
+    def begin(self, about: object) -> None:
+        """What a warehouse says of its answer before the first part; fronts of its kind know it."""
+        ...
+
     def part(self, data: bytes) -> bool:
-        """Take a piece of the result; False: the client is gone."""
+        """Take a piece of the result, perhaps waiting for the client; False: it can't go on."""
         ...
 
 
--- a/lilacfront/fronts/platform.py
+++ b/lilacfront/fronts/platform.py
@@ -17,6 +17,7 @@
 log = logging.getLogger(__name__)
 OPEN_MOST = 32  # requests open on one connection
 QUEUED_MOST = 2 << 20  # bytes of answers for a client that does not read
+RESULT_MOST = 48_000  # bytes of a whole result
 IDLE_S = 60.0  # a connection without an open request is closed after this; clients do so much earlier
 MARGIN_S = 0.012  # of a request's time is kept for its way in and the answer's way out
 
@@ -24,12 +25,20 @@
 class Collected:
     """A result gathered whole before any of it goes on."""
 
+    begun = False
+
     def __init__(self) -> None:
         self.body = b""
 
+    def clear(self) -> None:
+        self.body = b""
+
+    def begin(self, about: object) -> None:
+        pass
+
     def part(self, data: bytes) -> bool:
-        self.body = data
-        return True
+        self.body += data
+        return len(self.body) <= RESULT_MOST
 
 
 class PlatformFront:
--- a/lilacfront/sched/stream.py
+++ b/lilacfront/sched/stream.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import errno
 import select
 import socket
@@ -50,6 +51,7 @@
         self._out: deque[Chunk] = deque()
         self._reader: Task | None = None
         self._connector: Task | None = None
+        self._writer: tuple[Task, int] | None = None  # waits until no more than so many bytes are queued
         self._readable = self._writing = False
         self._progress_at = loop.now
         self._mask = 0
@@ -120,6 +122,15 @@
                 return ended
         return b""
 
+    def quiet(self) -> bool:
+        """Whether the connection is open and nothing has come that was not read."""
+        try:
+            return not self.closed and len(self.sock.recv(1, socket.MSG_PEEK)) > 1
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+
     # ---- writing ----------------------------------------------------------------------------------
     def write(self, data: bytes) -> Chunk:
         """Queue bytes; they leave at the end of this turn. A peer that lets too much pile up is cut off."""
@@ -137,6 +148,28 @@
             self.loop.dirty[self.flush] = None
         return chunk
 
+    def room(self, task: Task, until: float, most: int) -> bool:
+        """Wait until at most `most` bytes are queued; False if that does not come about."""
+        while not self.closed and self.queued > most:
+            self._writer = (task, most)
+            ended = self.loop.wait(task, until)
+            self._writer = None
+            if isinstance(ended, Wait):
+                return False
+        return not self.closed
+
+    def finish(self, task: Task, until: float) -> None:
+        """Close in order: what is queued leaves, and the peer's own end is awaited.
+
+        Guard: closing while the peer still sends would reset the connection and destroy the last answer.
+        """
+        if self.room(task, until, 0):
+            with contextlib.suppress(OSError):
+                self.sock.shutdown(socket.SHUT_WR)
+            while isinstance(got := self.read(task, until), bytes) and got:
+                pass
+        self.close()
+
     def flush(self) -> None:
         """Hand the kernel what it takes now."""
         while self._out and not self.closed:
@@ -164,6 +197,8 @@
             self.queued -= len(self._out.popleft().data)
         if self.closed:
             return
+        if self._writer is not None and self.queued <= self._writer[1]:
+            self._writer[0].wake(None)
         if bool(self._out) != self._writing:
             self._writing = bool(self._out)
             self._watch()
@@ -189,4 +224,6 @@
         self.sock.close()
         if self._reader is not None:
             self._reader.wake(True)
+        if self._writer is not None:
+            self._writer[0].wake(True)
         self.on_close()
--- a/lilacfront/warehouses/resp.py
+++ b/lilacfront/warehouses/resp.py
@@ -331,5 +331,6 @@
             return self._error(b"a result over the most that one may hold")
         if len(self.pages) < self.wanted:
             return None
-        sink.part(b"".join(self.pages[n] for n in range(self.wanted)))
+        if not sink.part(b"".join(self.pages[n] for n in range(self.wanted))):
+            return self._error(b"the answer can't be passed on")
         return Outcome(Ending.SERVED, Reach.ANSWERING, self.report)
