--- a/lilacfront/cli.py
+++ b/lilacfront/cli.py
@@ -5,6 +5,7 @@
 import logging
 import sys
 from importlib import metadata
+from pathlib import Path
 
 import click
 
@@ -17,26 +18,37 @@
     """lilacfront: a front end that places queries on engines."""
 
 
-def _load() -> configuration.Config:
+gateway_option = click.option(
+    "--gateway",
+    type=click.Path(dir_okay=False, path_type=Path),
+    default=Path("deploy/clickhouse.toml"),
+    show_default=True,
+    help="The file that turns on the ClickHouse front, HTTP warehouses and etcd.",
+)
+
+
+def _load(gateway: Path) -> configuration.Config:
     try:
-        return configuration.load()
+        return configuration.load(gateway)
     except configuration.ConfigError as problem:
         raise click.ClickException(str(problem)) from problem
 
 
 @main.command()
+@gateway_option
 @click.option("--verbose", is_flag=True, help="Log more than starts, ends and faults.")
-def serve(verbose: bool) -> None:
+def serve(gateway: Path, verbose: bool) -> None:
     """Serve until SIGTERM; PROXY_CONFIG names the configuration."""
     level = logging.INFO if verbose else logging.WARNING
     logging.basicConfig(stream=sys.stderr, level=level, format="%(levelname)s %(name)s: %(message)s")
-    Server(_load()).run()
+    Server(_load(gateway)).run()
 
 
 @main.command()
-def check_config() -> None:
+@gateway_option
+def check_config(gateway: Path) -> None:
     """Check the configuration and tell what is wrong with it."""
-    config = _load()
+    config = _load(gateway)
     click.echo(
         f"{config.name or 'lilacfront'}: {len(config.class_names)} classes, listens at {config.listen}"
     )
--- a/lilacfront/config.py
+++ b/lilacfront/config.py
@@ -3,14 +3,16 @@
 from __future__ import annotations
 
 import os
+import re
 from collections.abc import Mapping
 from pathlib import Path
-from typing import Any
+from typing import Any, Literal
 
 import msgspec
 
 from lilacfront import interface as i
 from lilacfront import wire
+from lilacfront.fronts.clickhouse import Classes, ClassRule
 from lilacfront.membership.changelog import Known
 from lilacfront.membership.fleet import ListError, parse_address
 
@@ -41,6 +43,66 @@
     known: Known = msgspec.field(default_factory=Known)
 
 
+class RuleFile(msgspec.Struct, forbid_unknown_fields=True, rename={"cls": "class"}):
+    """Reads of this user whose statement matches the pattern count as this class."""
+
+    cls: str
+    user: str = ""
+    pattern: str = ""
+
+
+class ClickHouseFile(msgspec.Struct, forbid_unknown_fields=True):
+    """[clickhouse]: the front that speaks the ClickHouse HTTP interface. Without `listen` it is off."""
+
+    listen: str = ""
+    read_class: str = ""
+    load_class: str = ""
+    body_most_mb: int = 16
+    bodies_most_mb: int = 48
+    rules: list[RuleFile] = []
+
+
+class WarehousesFile(msgspec.Struct, forbid_unknown_fields=True):
+    """[warehouses]: what they speak."""
+
+    protocol: Literal["resp", "clickhouse"] = "resp"
+    stall_s: float = 5.0
+
+
+class EtcdFile(msgspec.Struct, forbid_unknown_fields=True):
+    """[etcd]: where the list of warehouses comes from in place of the change log."""
+
+    endpoints: list[str] = []
+    prefix: str = "/warehouses/"
+
+
+class GatewayFile(msgspec.Struct, forbid_unknown_fields=True):
+    """deploy/clickhouse.toml; absent or all comments on the platform."""
+
+    clickhouse: ClickHouseFile = msgspec.field(default_factory=ClickHouseFile)
+    warehouses: WarehousesFile = msgspec.field(default_factory=WarehousesFile)
+    etcd: EtcdFile = msgspec.field(default_factory=EtcdFile)
+
+
+class HttpFront(msgspec.Struct):
+    """The ClickHouse front, checked."""
+
+    listen: tuple[str, int]
+    classes: Classes
+    body_most: int
+    bodies_most: int
+
+
+class Gateway(msgspec.Struct):
+    """What the gateway's own file says, checked."""
+
+    front: HttpFront | None
+    http_warehouses: bool
+    stall_s: float
+    etcd: tuple[tuple[str, int], ...]
+    prefix: str
+
+
 class Config(msgspec.Struct):
     """All that the program goes by, checked."""
 
@@ -57,6 +119,7 @@
     streams: int
     connect_s: float
     idle_s: float
+    gateway: Gateway
 
 
 def _address(text: str, key: str) -> tuple[str, int]:
@@ -73,7 +136,69 @@
     return value
 
 
-def parse(text: bytes, environment: Mapping[str, str]) -> Config:
+def _class(names: tuple[str, ...], name: str, key: str) -> int:
+    if name not in names:
+        raise ConfigError(f"{key}: {name!r} is none of the classes {', '.join(names)}")
+    return names.index(name)
+
+
+def _http_front(raw: ClickHouseFile, names: tuple[str, ...], settings: i.Settings) -> HttpFront:
+    def of(name: str, key: str, load: bool) -> int:
+        cls = _class(names, name, key)
+        if (settings.classes[cls].effect is i.Effect.UNSAFE) is not load:
+            wanted = "must" if load else "may"
+            raise ConfigError(
+                f"{key}: {name!r} is a class that {wanted} not run twice; it can't be used here"
+            )
+        return cls
+
+    rules = []
+    for n, rule in enumerate(raw.rules):
+        key = f"clickhouse.rules[{n}]"
+        try:
+            pattern = re.compile(rule.pattern.encode(), re.I | re.S) if rule.pattern else None
+        except re.error as problem:
+            raise ConfigError(f"{key}.pattern: {problem}") from problem
+        rules.append(ClassRule(of(rule.cls, f"{key}.class", False), rule.user.encode(), pattern))
+    for key, size in (("body_most_mb", raw.body_most_mb), ("bodies_most_mb", raw.bodies_most_mb)):
+        if not 0 < size <= 64:
+            raise ConfigError(f"clickhouse.{key}: {size} is not from 1 to 64")
+    return HttpFront(
+        _address(raw.listen, "clickhouse.listen"),
+        Classes(
+            of(raw.read_class, "clickhouse.read_class", False),
+            of(raw.load_class, "clickhouse.load_class", True),
+            tuple(rules),
+            tuple(one.deadline_us / 1e6 for one in settings.classes),
+        ),
+        raw.body_most_mb << 20,
+        raw.bodies_most_mb << 20,
+    )
+
+
+def parse_gateway(text: bytes, names: tuple[str, ...], settings: i.Settings) -> Gateway:
+    """Check the gateway's own file."""
+    try:
+        raw = msgspec.toml.decode(text, type=GatewayFile)
+    except (msgspec.MsgspecError, ValueError) as problem:
+        raise ConfigError(f"gateway file: {problem}") from problem
+    http = raw.warehouses.protocol == "clickhouse"
+    if raw.clickhouse.listen and not http:
+        raise ConfigError('warehouses.protocol: must be "clickhouse" where clickhouse.listen is set')
+    if not 0 < raw.warehouses.stall_s <= 3600:
+        raise ConfigError(f"warehouses.stall_s: {raw.warehouses.stall_s} is not a number of seconds")
+    if not raw.etcd.prefix:
+        raise ConfigError("etcd.prefix: must not be empty")
+    return Gateway(
+        _http_front(raw.clickhouse, names, settings) if raw.clickhouse.listen else None,
+        http,
+        raw.warehouses.stall_s,
+        tuple(_address(one, f"etcd.endpoints[{n}]") for n, one in enumerate(raw.etcd.endpoints)),
+        raw.etcd.prefix,
+    )
+
+
+def parse(text: bytes, environment: Mapping[str, str], gateway: bytes = b"") -> Config:
     """Check the platform's file; the environment's address and name go before those in it."""
     try:
         raw = msgspec.json.decode(text, type=Platform)
@@ -108,10 +233,11 @@
         streams=_count(limits, "streams-per-conn", DEFAULT_STREAMS),
         connect_s=_count(limits, "connect-timeout", DEFAULT_CONNECT_US) / 1e6,
         idle_s=_count(limits, "conn-idle", DEFAULT_IDLE_US) / 1e6,
+        gateway=parse_gateway(gateway, names, settings),
     )
 
 
-def load(environment: Mapping[str, str] = os.environ) -> Config:
+def load(gateway_file: Path, environment: Mapping[str, str] = os.environ) -> Config:
     path = environment.get("PROXY_CONFIG", "")
     if not path:
         raise ConfigError("PROXY_CONFIG: not set; it names the configuration file")
@@ -119,4 +245,10 @@
         text = Path(path).read_bytes()
     except OSError as problem:
         raise ConfigError(f"PROXY_CONFIG: {problem}") from problem
-    return parse(text, environment)
+    try:
+        gateway = gateway_file.read_bytes()
+    except FileNotFoundError:
+        gateway = b""
+    except OSError as problem:
+        raise ConfigError(f"gateway file: {problem}") from problem
+    return parse(text, environment, gateway)
--- a/lilacfront/membership/fleet.py
+++ b/lilacfront/membership/fleet.py
@@ -16,8 +16,8 @@
 class Instance(msgspec.Struct, rename="camel"):
     """One warehouse as the change log and etcd tell of it."""
 
-    instance_id: str
     host_port: str
+    instance_id: str = ""
     lifecycle: str = "ready"
     zone: str = ""
     machine_type: str = ""
@@ -63,6 +63,8 @@
 
     def _entry(self, one: Instance) -> EngineEntry:
         number = engine_number(one.instance_id)
+        if not one.instance_id:
+            raise ListError("an entry without instanceId")
         condition = CONDITIONS.get(one.lifecycle)
         if condition is None:
             raise ListError(f"lifecycle {one.lifecycle!r} of {one.instance_id}")
--- a/lilacfront/server.py
+++ b/lilacfront/server.py
@@ -9,10 +9,14 @@
 
 from lilacfront.config import Config
 from lilacfront.core.facade import Facade
+from lilacfront.core.model import Attempts
+from lilacfront.fronts.clickhouse import ClickHouseFront
 from lilacfront.fronts.platform import PlatformFront
 from lilacfront.membership.changelog import ChangeLog
+from lilacfront.membership.etcd import EtcdWatch
 from lilacfront.membership.fleet import Fleet, Roster
 from lilacfront.sched import Loop, Task
+from lilacfront.warehouses.clickhouse import HttpWarehouses
 from lilacfront.warehouses.resp import RespWarehouses
 
 log = logging.getLogger(__name__)
@@ -28,14 +32,18 @@
         self.facade = Facade(self.loop, settings, config.seed)
         self.roster = Roster(config.zones, config.kinds)
         share = max(1, config.sockets // 3)
-        self.attempts = RespWarehouses(
-            self.loop,
-            tuple(name.encode() for name in config.class_names),
-            config.streams,
-            config.connect_s,
-            config.idle_s,
-            share,
-        )
+        self.attempts: Attempts
+        if config.gateway.http_warehouses:
+            self.attempts = HttpWarehouses(self.loop, config.connect_s, config.gateway.stall_s, share)
+        else:
+            self.attempts = RespWarehouses(
+                self.loop,
+                tuple(name.encode() for name in config.class_names),
+                config.streams,
+                config.connect_s,
+                config.idle_s,
+                share,
+            )
         self.facade.on_shut = self.attempts.shut
         for event in config.known.results:
             if event.fleet is not None:
@@ -44,14 +52,31 @@
             name.encode(): (n, settings.classes[n].deadline_us / 1e6)
             for n, name in enumerate(config.class_names)
         }
-        self.front = PlatformFront(
-            self.loop, self.facade, self.attempts, classes, lambda: self.leaving_at == math.inf
-        )
-        self.listener = self.front.listen(config.listen, share)
+        front = PlatformFront(self.loop, self.facade, self.attempts, classes, self.healthy)
+        http = config.gateway.front
+        # Both fronts together hold a third of the descriptors at most, as many as clients may.
+        self.listeners = [front.listen(config.listen, share if http is None else share // 2)]
+        if http is not None:
+            clickhouse = ClickHouseFront(
+                self.loop,
+                self.facade,
+                self.attempts,
+                http.classes,
+                http.body_most,
+                http.bodies_most,
+                self.healthy,
+            )
+            self.listeners.append(clickhouse.listen(http.listen, share // 2))
         self.loop.spawn(self.facade.run_timers)
-        if config.changelog is not None:
+        if config.gateway.etcd:
+            watch = EtcdWatch(self.loop, config.gateway.etcd, config.gateway.prefix, self.heard)
+            self.loop.spawn(watch.run)
+        elif config.changelog is not None:
             self.loop.spawn(ChangeLog(self.loop, config.changelog, config.known.seq, self.heard).run)
 
+    def healthy(self) -> bool:
+        return self.leaving_at == math.inf
+
     def heard(self, fleet: Fleet) -> None:
         news, addresses = self.roster.news(fleet)
         self.facade.fleet(news, addresses)
@@ -64,7 +89,8 @@
 
     def _leave(self, task: Task) -> None:
         self.loop.sleep(task, self.leaving_at)
-        self.listener.close()
+        for listener in self.listeners:
+            listener.close()
         while self.facade.busy:
             self.loop.sleep(task, self.loop.now + 0.02)
         self.loop.sleep(task, self.loop.now + 0.05)  # the last answers leave
@@ -76,6 +102,7 @@
         signal.set_wakeup_fd(self.loop.wake_out.fileno(), warn_on_full_buffer=False)
         gc.collect()
         gc.freeze()  # what the start made stays: later collections need not walk it
-        log.warning("%s serves at %s:%d", self.config.name or "lilacfront", *self.listener.address)
+        for listener in self.listeners:
+            log.warning("%s serves at %s:%d", self.config.name or "lilacfront", *listener.address)
         self.loop.run()
         log.warning("ends with nothing left open")
