Play recorded exchanges against both paths; another engine first after a failure

Seen while writing the tests: (1) a request that failed on an engine went to the same engine again, since nothing in pick looked at what had been tried; a reset cost two of the five attempts. (2) An answer within one reading of the clock made a class's work 0 and rank() divided by it (rules.py, judge); the request's task died unanswered. (3) 'select /* unended' passed for a read: the sign '/' matched before the unended comment.

--- a/lilacfront/core/facade.py
+++ b/lilacfront/core/facade.py
@@ -23,6 +23,7 @@
     Final,
     Note,
     Outcome,
+    Reach,
     Refused,
     Request,
     Served,
@@ -202,6 +203,13 @@
             if ticket.out:
                 ticket.task.interrupt()
 
+    def drop(self, ticket: Ticket) -> None:
+        """Its task has failed: withdraw the request, and tell the end of an attempt that was out."""
+        self.withdraw(ticket)
+        if ticket.out:
+            self.report(ticket, Outcome(Ending.GIVEN_UP, Reach.WRITTEN))
+        self._tickets.pop(ticket.number, None)
+
     # ---- timers -------------------------------------------------------------------------------------
     def tick(self) -> float:
         """Run the timers that are due; returns when the next one is."""
--- a/lilacfront/core/statement.py
+++ b/lilacfront/core/statement.py
@@ -15,8 +15,8 @@
     | (?P<figure> [0-9]\w* )
     | (?P<space> \s+ )
     | (?P<end> ; )
-    | (?P<sign> [-+*/%=<>!(),.\[\]{}:?|&^~@] )
     | (?P<open> ['"`] | /\* )                   # an unended string, name or comment: no token ends it
+    | (?P<sign> [-+*/%=<>!(),.\[\]{}:?|&^~@] )
     """,
     re.X | re.S | re.A,
 )
--- a/lilacfront/fronts/clickhouse.py
+++ b/lilacfront/fronts/clickhouse.py
@@ -311,7 +311,7 @@
             final: Final = carry(self.front.facade, result.ticket, self.front.attempts, result)
         except Exception:
             log.exception("a request failed")
-            self.front.facade.withdraw(result.ticket)
+            self.front.facade.drop(result.ticket)
             final = Failed()
         try:
             self._finish(final, result)
--- a/lilacfront/fronts/platform.py
+++ b/lilacfront/fronts/platform.py
@@ -8,7 +8,7 @@
 
 from lilacfront.core.facade import Facade, Ticket
 from lilacfront.core.lifecycle import carry
-from lilacfront.core.model import Attempts, Failed, Refused, Request, Served
+from lilacfront.core.model import Attempts, Failed, Final, Refused, Request, Served
 from lilacfront.core.statement import table_group
 from lilacfront.fronts.listener import Listener
 from lilacfront.protocols import thrift
@@ -152,16 +152,19 @@
         front = self.front
         if self.stream.closed or seqid not in self.open:
             return
-        ticket = self.open[seqid] = front.facade.take(request, task)
-        sink = Collected()
+        sink, ticket = Collected(), None
+        final: Final
         try:
+            ticket = self.open[seqid] = front.facade.take(request, task)
             final = carry(front.facade, ticket, front.attempts, sink)
         except Exception:
+            # Guard: a fault of this program's own still owes the client its one answer.
             log.exception("a request failed")
-            front.facade.withdraw(ticket)
+            if ticket is not None:
+                front.facade.drop(ticket)
             final = Failed()
         # Guard: after an abort, or for a number that has been given to another request, nothing is owed.
-        if self.open.get(seqid) is not ticket:
+        if seqid not in self.open or self.open[seqid] is not ticket:
             return
         del self.open[seqid]
         match final:
--- a/lilacfront/rules.py
+++ b/lilacfront/rules.py
@@ -354,9 +354,14 @@
         walk = chain(self.cold if self.pooled else (), (order[-1 - n] if far else order[n] for n in places))
         aside = len(self.ill) <= ASIDE_PART * len(order)
         room = (e for e in walk if self.has_room(e, job, aside) and self.may_send(job, e))
+        if job.attempts:  # what has failed, or taken too long, on one engine is tried on another first
+            tried = [a.engine for a in job.attempts]
+            room = (e for e in sorted(room, key=tried.count))
         first = list(islice(room, 2))
         if not first:
             return None
+        if job.attempts and first[0] not in tried:
+            return first[0]
         best = min(first, key=self.load)
         if self.pooled and first[0] in self.cold:  # its turn: left to chance it would lapse
             return first[0]
@@ -565,7 +570,8 @@
     def judge(self, job: Job, attempt: Attempt, event: i.Outcome) -> None:
         """What one outcome tells: of the class (time, work), of the engine's bound, of its health."""
         engine, spec = attempt.engine, job.spec
-        result, took, likely = event.result, self.now - attempt.sent, self.likely(job)
+        # Guard: an answer within one reading of the clock must not make a class's work nought.
+        result, took, likely = event.result, max(1, self.now - attempt.sent), self.likely(job)
         if (told := event.report) is not None and (told.in_hand, told.busy) != (None, None):
             held = told.in_hand if told.in_hand is not None else (told.busy or 0.0) * engine.cores
             self.report(engine, held / engine.cores)
--- a/lilacfront/sched/loop.py
+++ b/lilacfront/sched/loop.py
@@ -1,8 +1,8 @@
 """A loop of greenlets over select.poll. Every wait has a deadline; interrupting its task ends it early.
 
 A wait returns a value that says how it ended; nothing here raises to tell that time is up.
-Times are seconds of `Loop.now`, which runs with the monotonic clock and starts at the Unix time, so that it
-can be compared with what other machines say and never jumps.
+Times are seconds of `Loop.now`, which by default runs with the monotonic clock and starts at the Unix time,
+so that it can be compared with what other machines say and never jumps.
 """
 
 from __future__ import annotations
@@ -72,17 +72,18 @@
 class Loop:
     """Runs tasks until `stop`. One loop a process; all of its methods belong to its own thread."""
 
-    def __init__(self) -> None:
+    def __init__(self, clock: Callable[[], float] | None = None) -> None:
         self.hub = greenlet.getcurrent()
-        self._offset = time.time() - time.monotonic()
-        self.now = time.time()
+        offset = time.time() - time.monotonic()
+        self._clock = clock or (lambda: time.monotonic() + offset)
+        self.now = self._clock()
         self.ready: deque[tuple[Task, object]] = deque()
         self.dirty: dict[Callable[[], None], None] = {}  # flushes due at the end of this turn, in order
         self._poll = select.poll()
         self._watched: dict[int, Callable[[int], None]] = {}
         self._timers: list[tuple[float, int, Callable[[], None]]] = []
         self._tickets = count(1)
-        self._stopping = False
+        self.stopping = False
         self._wake_in, self.wake_out = socket.socketpair()
         for end in (self._wake_in, self.wake_out):
             end.setblocking(False)
@@ -96,7 +97,7 @@
             pass
 
     def clock(self) -> float:
-        self.now = time.monotonic() + self._offset
+        self.now = self._clock()
         return self.now
 
     # ---- tasks and waits --------------------------------------------------------------------------
@@ -137,10 +138,14 @@
 
     # ---- the loop ---------------------------------------------------------------------------------
     def stop(self) -> None:
-        self._stopping = True
+        self.stopping = True
+
+    def close(self) -> None:
+        for end in (self._wake_in, self.wake_out):
+            end.close()
 
     def run(self) -> None:
-        while not self._stopping:
+        while not self.stopping:
             self.turn(POLL_MOST)
 
     def turn(self, most: float) -> None:
--- a/lilacfront/server.py
+++ b/lilacfront/server.py
@@ -26,8 +26,8 @@
 class Server:
     """One front end."""
 
-    def __init__(self, config: Config) -> None:
-        self.config, self.loop, self.leaving_at = config, Loop(), math.inf
+    def __init__(self, config: Config, loop: Loop | None = None) -> None:
+        self.config, self.loop, self.leaving_at = config, loop or Loop(), math.inf
         settings = config.settings
         self.facade = Facade(self.loop, settings, config.seed)
         self.roster = Roster(config.zones, config.kinds)
@@ -96,6 +96,11 @@
         self.loop.sleep(task, self.loop.now + 0.05)  # the last answers leave
         self.loop.stop()
 
+    def close(self) -> None:
+        for listener in self.listeners:
+            listener.close()
+        self.loop.close()
+
     def run(self) -> None:
         signal.signal(signal.SIGTERM, lambda *_: self.leave())
         signal.signal(signal.SIGINT, lambda *_: self.leave())
@@ -105,4 +110,5 @@
         for listener in self.listeners:
             log.warning("%s serves at %s:%d", self.config.name or "lilacfront", *listener.address)
         self.loop.run()
+        self.close()
         log.warning("ends with nothing left open")
--- a/lilacfront/warehouses/resp.py
+++ b/lilacfront/warehouses/resp.py
@@ -233,7 +233,7 @@
             return Outcome(Ending.GIVEN_UP if given_up else Ending.NOT_SENT, Reach.NOT_CONNECTED)
         if connection.closed:
             return Outcome(Ending.NO_CONNECTION, Reach.NOT_CONNECTED)
-        ttl = int((chosen.until - self.loop.now) * 1000)
+        ttl = round((chosen.until - self.loop.now) * 1000)
         # Guard: the engine may have begun to drain, or left, while the connection came up.
         if ttl <= 0 or not watch.may_send(chosen.engine):
             return Outcome(Ending.NOT_SENT, Reach.UNWRITTEN)
--- /dev/null
+++ b/tests/test_rules_on_sockets.py
@@ -0,0 +1,40 @@
+"""The rules, the same for both paths: Thrift to RESP, and ClickHouse HTTP on both sides."""
+
+from collections.abc import Callable
+
+import pytest
+from play import EXCHANGES, Dialect, Etcd, Http, Stage, ThriftResp
+
+PATHS = [pytest.param(ThriftResp, id="thrift-resp"), pytest.param(Http, id="http")]
+
+
+@pytest.mark.parametrize("split", [False, True], ids=["whole", "bytewise"])
+@pytest.mark.parametrize("path", PATHS)
+@pytest.mark.parametrize("name", sorted(p.stem for p in (EXCHANGES / "rules").glob("*.txt")))
+def test_rule(name: str, path: Callable[[], Dialect], split: bool) -> None:
+    play(f"rules/{name}", path(), split)
+
+
+@pytest.mark.parametrize("name", sorted(p.stem for p in (EXCHANGES / "platform").glob("*.txt")))
+def test_platform(name: str) -> None:
+    play(f"platform/{name}", ThriftResp(), False)
+
+
+@pytest.mark.parametrize("name", sorted(p.stem for p in (EXCHANGES / "clickhouse").glob("*.txt")))
+def test_clickhouse(name: str) -> None:
+    play(f"clickhouse/{name}", Http(), False)
+
+
+@pytest.mark.parametrize("name", sorted(p.stem for p in (EXCHANGES / "etcd").glob("*.txt")))
+def test_etcd(name: str) -> None:
+    play(f"etcd/{name}", Etcd(), False)
+
+
+def play(name: str, dialect: Dialect, split: bool) -> None:
+    text = (EXCHANGES / f"{name}.txt").read_text()
+    first = text.splitlines()[0]
+    stage = Stage(dialect, split, engines=0 if "no warehouses" in first else 2)
+    try:
+        stage.play(text)
+    finally:
+        stage.close()
