An engine that reports idle cores no longer has its bound cut by late answers

A report runs at 0.22 of its aim even alone, above AIM_SHARE 0.2, so its outcomes cut bounds where nothing is crowded (rules.py, judge). Change: a ratio above 1 counts as 1 while the answer's own report says the cores are under 70% busy. AM-C still moves the bound, from what crowding explains.

--- a/lilacfront/rules.py
+++ b/lilacfront/rules.py
@@ -13,6 +13,7 @@
 from lilacfront import interface as i
 
 # ---- constants, each with its reason ------------------------------------------------------------
+IDLE_BUSY = 0.7  # cores less busy than this are not what made a query late
 GAIN = 0.8  # AM-C: the thesis' gamma 0.1 (7.3.1) times its ceiling of 8 s, for a ratio in place of seconds
 AIM_SHARE = 0.2  # the bound steers the mean to this part of the aim: latencies scatter widely about it
 RATIO_CAP = 2.0  # one outcome tells at most this of its engine: a bad plan says more of itself than of it
@@ -594,6 +595,8 @@
         elif result is i.Result.CONNECT_FAILED:
             self.set_aside(engine, max(ASIDE_US, self.round_us()))  # else over before its next query
         ratio = took / self.aim(job, event.work_us or job.req.work_us) / AIM_SHARE
+        if told is not None and told.busy is not None and told.busy < IDLE_BUSY:
+            ratio = min(ratio, 1.0)
         cut = result in (i.Result.TIMEOUT, i.Result.CANCELLED)
         if result is i.Result.OK or (cut and ratio > max(engine.ratio, 1.0)):
             heard = [e.ratio for e in self.here if e.ratio >= 0] if engine.ratio < 0 else []
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -184,3 +184,16 @@
     now = warm_up(gate, 0, 40, 50_000)
     answers = [a for n in range(90) for a in ask(gate, now, n, table_group=n)]
     assert len(sends(answers)) >= 48 and not finals(answers)
+
+
+def test_a_late_answer_from_an_idle_engine_does_not_shrink_its_bound():
+    def bound_after(busy: float) -> float:
+        gate = gateway(settings(), entries(1))
+        for n in range(20):
+            (send,) = sends(ask(gate, n * S, n))
+            ended(gate, n * S + 900_000, send, i.Result.OK, report=i.LoadReport(busy=busy))
+        return gate.engines[1].bound
+
+    opening = gateway(settings(), entries(1)).engines[1].bound
+    assert bound_after(0.3) == opening
+    assert bound_after(0.95) < opening
