A ratio of just 1 leaves an engine's bound as it is

Cause: Bound.learn took a step of exactly 1 for a cut and set a bound that was not full to what is held (rules.py, 'step > 1.0'). Now 'step >= 1.0' returns there.

--- a/lilacfront/rules.py
+++ b/lilacfront/rules.py
@@ -122,7 +122,7 @@
             self.ratio = average
         self.ratio += SMOOTH * part * (min(ratio, RATIO_CAP) - self.ratio)
         step = min(RISE, max(FALL, 1.0 / (1.0 + GAIN * (self.ratio - 1.0)))) ** part
-        if step > 1.0 and not self.full:
+        if step >= 1.0 and not self.full:
             return
         base = self.bound if self.full or turn else min(self.bound, max(self.most, self.used + threads))
         self.bound = max(floor, base * step if step > 1.0 else min(self.bound, base * step))
