Draw an overdue query anew once, and let only redraws that pay earn more

A probe that logged each cancel's cause: 142 for waiting behind a load, after 1 to 3 ms, which cost nothing; 354 by the timer, overdue at 4 times the likely time. The same request was cancelled up to five times at 200 ms each: it was truly long and every attempt did the same work again. Ruled out: silence, notes, deadlines. Faulty: check_busy took a request back without end, and TAKE_BACKS granted 0.06 a request whether or not that ever helped (rules.py).

--- a/lilacfront/rules.py
+++ b/lilacfront/rules.py
@@ -45,7 +45,7 @@
 ASIDE_PART = 0.5  # of the engines at most are set aside: beyond that the trouble is not the engines'
 COLD_MARGIN = 0.5  # of this gateway's part of a cold engine's budget is used: costs are guesses
 BUSY_SHARE = 0.85  # capacity is counted at cores this busy (rule 4)
-TAKE_BACKS = 0.06  # for each request taken: bad plans are a few in a hundred of the long classes
+TAKE_BACKS = 0.01  # for each request taken: enough to see whether drawing anew pays here
 TAKE_BACKS_SAVED = 12.0  # most that quiet times save up: about what one lost engine holds of long queries
 SPARE_BUDGET = 0.5  # of the retry budget may go to queries taken back; the rest is for broken attempts
 STEP, WATCH, DEADLINES = 0, 1, 2  # timer tokens; from the last on a request's number is added
@@ -79,6 +79,7 @@
         self.attempts: list[Attempt] = []
         self.aim = self.wait_until = self.least = 0  # least: time out before it may be drawn anew
         self.done, self.density = False, 0.0  # density: worth for thread time
+        self.redrawn = False  # taken back once for being overdue
 
     def out(self) -> Attempt | None:
         return next((a for a in reversed(self.attempts) if a.result is None), None)
@@ -581,6 +582,8 @@
         if result in (i.Result.OK, i.Result.ERROR, i.Result.TURNED_AWAY):
             engine.heard = self.now
         if result is i.Result.OK:
+            if job.redrawn and took <= OVERDUE * likely:  # drawing anew paid
+                self.take_backs = min(TAKE_BACKS_SAVED, self.take_backs + 1.0)
             self.kinds[job.req.cls].learn(took, event.work_us)
             engine.errors -= ERROR_STEP * engine.errors
             if engine.errors <= ERROR_SHARE:
@@ -701,7 +704,8 @@
         It could hurt a crowded engine, so the silence must also last well past the shortest likely time.
 
         Guard: an attempt far past its likely time, or bound to be by its notes (bad plan, stuck query):
-        drawn anew. It could hurt when one is truly long, and when all are slow; so requests taken ration it.
+        drawn anew, once. It could hurt when one is truly long, and when all are slow; so requests taken
+        ration it, and only one that then ends in time earns back what it took.
         """
         for engine in list(self.busy.values()):
             held = [(j, a, self.likely(j), self.now - a.sent) for j, a in engine.attempts.values()]
@@ -716,8 +720,9 @@
                     late = int((attempt.note_at - attempt.sent) * (1.0 / attempt.share - 1.0))
                 if silent:
                     self.take_back(job, attempt)
-                elif self.take_backs >= 1.0 and late > max(OVERDUE * likely, job.least):
-                    self.take_backs -= self.take_back(job, attempt)
+                elif not job.redrawn and self.take_backs >= 1.0 and late > max(OVERDUE * likely, job.least):
+                    job.redrawn = self.take_back(job, attempt)
+                    self.take_backs -= job.redrawn
 
     def take_back(self, job: Job, attempt: Attempt) -> bool:
         """Cancel an attempt to try elsewhere, where a repeat is safe, in budget and can end in time."""
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -197,3 +197,23 @@
     opening = gateway(settings(), entries(1)).engines[1].bound
     assert bound_after(0.3) == opening
     assert bound_after(0.95) < opening
+
+
+def test_an_overdue_query_is_drawn_anew_once_and_only_what_pays_earns_more():
+    def after(second: int) -> tuple[int, float]:
+        """How often the second attempt, taking `second`, was cancelled, and how many redraws are left."""
+        gate = gateway(settings(replace(SHORT, deadline_us=20 * S)), entries(4))
+        now = warm_up(gate, 0, 60, 100_000)
+        (send,) = sends(ask(gate, now, 1, left_us=20 * S))
+        gate.take_backs = 5.0
+        gate.engines[send.engine].heard = now + 100 * S  # heard, so not silent
+        late = step(gate, now + S)
+        assert [a for a in late if isinstance(a, i.Cancel)]
+        (send,) = sends(ended(gate, now + S, send, i.Result.CANCELLED))
+        gate.engines[send.engine].heard = now + 100 * S
+        again = [a for a in step(gate, now + S + second) if isinstance(a, i.Cancel)]
+        ended(gate, now + S + second, send, i.Result.OK, attempt=1)
+        return len(again), gate.take_backs
+
+    assert after(3 * S) == (0, 4.0)  # truly long: not drawn a third time, nothing earned
+    assert after(50_000) == (0, 5.0)
