Of the first two engines, lean to the one in the gateway's own zone

Ruled out: own-zone engines first in the hash order, which would keep each group warm on twice as many engines (warm sets are 3 to 5 groups). Change: in the choice between the first two in the order, an engine of another zone counts half a mean load fuller, where crossing has a price (rules.py, far).

--- a/lilacfront/rules.py
+++ b/lilacfront/rules.py
@@ -25,6 +25,7 @@
 SPILL = 1.5  # times this gateway's mean load from which the table-group order is left (design page)
 WAIT_SHARE = 0.5  # of the time a request can spare before its aim: waiting longer seldom pays
 WAIT_MOST = 3  # requests waiting for each core in the list: more could not start while waiting still pays
+NEAR = 0.5  # of the mean load: so much fuller may the engine in this gateway's own zone be
 POOL_SPILL = 1.25  # SPILL where bounds are pooled: a report that fades shows but a part of what is too much
 POOL_LEAST = 1.4  # threads a core, over all gateways, of the least pooled bound: fewer leave cores idle
 CREDIT = 1.0  # largest usual queries whose thread time an unused pooled bound saves up: one may then start
@@ -335,7 +336,8 @@
     def pick(self, job: Job) -> Engine | None:
         """The engine rule: first two with room in the table group's order, the emptier a core; or spill.
 
-        Departure: where classes stand still behind loads, loads walk the order from its far end.
+        Departure: where classes stand still behind loads, loads walk the order from its far end. An engine
+        that a request has failed on, or was taken back from, comes last for it.
         """
         mean, spill = self.pool.used / max(1.0, self.cores), SPILL
         if self.pooled:
@@ -364,7 +366,7 @@
             return None
         if job.attempts and first[0] not in tried:
             return first[0]
-        best = min(first, key=self.load)
+        best = min(first, key=lambda e: self.load(e) + mean * self.far(e))
         if self.pooled and first[0] in self.cold:  # its turn: left to chance it would lapse
             return first[0]
         if self.load(best) <= spill * mean:
@@ -373,6 +375,14 @@
             return next((e for e in room if self.load(e) <= mean), best)
         return min(chain(first, room), key=self.load)
 
+    def far(self, engine: Engine) -> float:
+        """What counts against an engine of another zone, in mean loads.
+
+        Departure: only where crossing has a price; the order, and so what is warm where, stays the same.
+        """
+        settings = self.settings
+        return NEAR if settings.cross_zone_price > 0 and engine.entry.zone != settings.zone else 0.0
+
     def start(self, group: int, engines: int) -> int:
         """Where in a group's order this gateway begins.
 
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -217,3 +217,27 @@
 
     assert after(3 * S) == (0, 4.0)  # truly long: not drawn a third time, nothing earned
     assert after(50_000) == (0, 5.0)
+
+
+def test_of_the_first_two_engines_the_near_one_is_taken_where_crossing_has_a_price():
+    def chosen(zone: int, price: float) -> int:
+        fleet = tuple(replace(e, zone=e.engine % 2) for e in entries(2))
+        gate = gateway(settings(zone=zone, cross_zone_price=price), fleet)
+        for engine, threads in zip(gate.engines.values(), (4, 5), strict=True):
+            engine.used += threads
+            gate.pool.used += threads
+        (send,) = sends(ask(gate, 0, 1))
+        return send.engine
+
+    assert (chosen(0, 0.04), chosen(1, 0.04)) == (2, 1)
+    assert (chosen(0, 0.0), chosen(1, 0.0)) == (1, 1)
+
+
+def test_what_failed_on_one_engine_goes_to_another_though_that_is_fuller():
+    gate = gateway(settings(), entries(2))
+    (send,) = sends(ask(gate, 0, 1))
+    other = gate.engines[3 - send.engine]
+    other.used += 6
+    gate.pool.used += 6
+    (again,) = sends(ended(gate, 1000, send, i.Result.ERROR))
+    assert again.engine == other.entry.engine
