Keep faults to the connection, timer or list entry that they belong to

Found by reading: an exception in a timer ended the task that runs all timers, one in a poll callback ended the process; a change-log entry that can't be used was asked for again ten times a second, each time with a log line, and nothing after it was heard.

--- a/lilacfront/cli.py
+++ b/lilacfront/cli.py
@@ -13,6 +13,23 @@
 from lilacfront.server import Server
 
 
+class Sparing(logging.Filter):
+    """Lets through so many lines a period: a peer must not be able to fill the log."""
+
+    def __init__(self, most: int = 30, period_s: float = 10.0) -> None:
+        super().__init__()
+        self.most, self.period_s, self.count, self.until, self.dropped = most, period_s, 0, 0.0, 0
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        if record.created >= self.until:
+            if self.dropped:
+                record.msg = f"({self.dropped} lines left out) {record.msg}"
+            self.until, self.count, self.dropped = record.created + self.period_s, 0, 0
+        self.count += 1
+        self.dropped += self.count > self.most
+        return self.count <= self.most
+
+
 @click.group()
 def main() -> None:
     """lilacfront: a front end that places queries on engines."""
@@ -40,7 +57,10 @@
 def serve(gateway: Path, verbose: bool) -> None:
     """Serve until SIGTERM; PROXY_CONFIG names the configuration."""
     level = logging.INFO if verbose else logging.WARNING
-    logging.basicConfig(stream=sys.stderr, level=level, format="%(levelname)s %(name)s: %(message)s")
+    handler = logging.StreamHandler(sys.stderr)
+    if not verbose:
+        handler.addFilter(Sparing())
+    logging.basicConfig(handlers=[handler], level=level, format="%(levelname)s %(name)s: %(message)s")
     Server(_load(gateway)).run()
 
 
--- a/lilacfront/core/facade.py
+++ b/lilacfront/core/facade.py
@@ -221,8 +221,14 @@
     def run_timers(self, task: Task) -> None:
         """The task that calls `tick` for as long as the program runs."""
         self._ticker = task
-        while self.loop.wait(task, min(self.tick() + 1e-6, self.loop.now + 1.0)) is not Interrupted:
-            pass
+        due = 0.0
+        while self.loop.wait(task, min(due + 1e-6, self.loop.now + 1.0)) is not Interrupted:
+            try:
+                due = self.tick()
+            except Exception:
+                # Guard: one timer that fails must not stop all others; the one that failed is off the list.
+                log.exception("a timer failed")
+                due = 0.0
 
     # ---- actions ------------------------------------------------------------------------------------
     def _now(self) -> int:
--- a/lilacfront/membership/changelog.py
+++ b/lilacfront/membership/changelog.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from lilacfront.membership.fleet import Fleet, ListError
+from lilacfront.membership.fleet import Fleet
 from lilacfront.sched import Loop, Stream, Task
 
 log = logging.getLogger(__name__)
@@ -24,6 +24,10 @@
     fleet: Fleet | None = None
 
 
+class Number(msgspec.Struct):
+    seq: int
+
+
 class Known(msgspec.Struct):
     """The log up to the start, from the configuration."""
 
@@ -32,6 +36,7 @@
 
 
 _LINE = msgspec.json.Decoder(Event | int)
+_NUMBER = msgspec.json.Decoder(Number)
 
 
 class ChangeLog:
@@ -48,8 +53,10 @@
             if isinstance(made, Stream):
                 try:
                     self._follow(task, made)
-                except (msgspec.MsgspecError, ListError, UnicodeDecodeError) as problem:
+                except (msgspec.MsgspecError, UnicodeDecodeError) as problem:
                     log.warning("change log: %s", problem)
+                except Exception:
+                    log.exception("change log")
                 finally:
                     made.close()
             self.loop.sleep(task, self.loop.now + AGAIN_S)
@@ -67,9 +74,19 @@
                 log.warning("change log: a line over %d bytes", LINE_MOST)
                 return
             for line in filter(None, (one.strip() for one in lines)):
-                if not self._take(_LINE.decode(line)):
+                if not self._take(self._decode(line)):
                     return
 
+    @staticmethod
+    def _decode(line: bytes) -> Event | int:
+        try:
+            return _LINE.decode(line)
+        except msgspec.ValidationError as problem:
+            # Guard: an event of a form that is not known here would be asked for again for ever.
+            number = _NUMBER.decode(line).seq
+            log.warning("change log: event %d can't be used: %s", number, problem)
+            return Event(number)
+
     def _take(self, line: Event | int) -> bool:
         """False where an event is missing: a new connection with `since` brings it."""
         if isinstance(line, int):
--- a/lilacfront/membership/etcd.py
+++ b/lilacfront/membership/etcd.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from lilacfront.membership.fleet import Fleet, Instance, ListError
+from lilacfront.membership.fleet import Fleet, Instance
 from lilacfront.protocols import http1
 from lilacfront.sched import Loop, Stream, Task
 
@@ -95,9 +95,12 @@
                 if listed:
                     pause = AGAIN_S
                     self._watch(task, endpoint)
-            except (msgspec.MsgspecError, http1.HttpError, ListError, ValueError) as problem:
+            except (msgspec.MsgspecError, http1.HttpError, ValueError) as problem:
                 log.warning("etcd at %s:%d: %s", *endpoint, problem)
                 listed = False
+            except Exception:
+                log.exception("etcd")
+                listed = False
             if not listed:
                 turn, pause = turn + 1, min(AGAIN_MOST_S, 2 * pause)
             self.loop.sleep(task, self.loop.now + pause)
--- a/lilacfront/membership/fleet.py
+++ b/lilacfront/membership/fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from hashlib import blake2b
@@ -10,6 +11,7 @@
 
 from lilacfront.interface import Condition, EngineEntry, EngineList, ListScope
 
+log = logging.getLogger(__name__)
 CONDITIONS = {"ready": Condition.READY, "draining": Condition.DRAINING, "gone": Condition.GONE}
 
 
@@ -57,9 +59,15 @@
     addresses: dict[int, tuple[str, int]] = field(default_factory=dict)
 
     def news(self, fleet: Fleet) -> tuple[EngineList, Mapping[int, tuple[str, int]]]:
-        entries = tuple(self._entry(one) for one in fleet.instances)
+        entries = []
+        for one in fleet.instances:
+            try:
+                entries.append(self._entry(one))
+            except ListError as problem:
+                # Guard: one entry that can't be used must not hide the others, nor be asked for for ever.
+                log.warning("list of warehouses: %s", problem)
         scope = ListScope.FULL if fleet.reset else ListScope.DELTA
-        return EngineList(scope, entries, fleet.generation), self.addresses
+        return EngineList(scope, tuple(entries), fleet.generation), self.addresses
 
     def _entry(self, one: Instance) -> EngineEntry:
         number = engine_number(one.instance_id)
--- a/lilacfront/sched/loop.py
+++ b/lilacfront/sched/loop.py
@@ -159,13 +159,20 @@
         for fd, what in events:
             call = self._watched.get(fd)  # an earlier call of this turn may have closed it
             if call is not None:
-                call(what)
+                self._safely(call, what)
         while self._timers and self._timers[0][0] <= self.now:
-            heapq.heappop(self._timers)[2]()
+            self._safely(heapq.heappop(self._timers)[2])
         while self.ready:
             task, value = self.ready.popleft()
             task.switch(value)
         while self.dirty:
             flushes, self.dirty = self.dirty, {}
             for flush in flushes:
-                flush()
+                self._safely(flush)
+
+    def _safely(self, call: Callable[..., None], *args: Any) -> None:
+        try:
+            call(*args)
+        except Exception:
+            # Guard: what fails for one connection must not end the loop for all.
+            log.exception("a call of the loop failed")
