Tests of the parts alone, and more of the ClickHouse front's hard cases

Found by them: an outcome 'not sent' or 'no connection' that had come as far as being written would have been told as never run (core/facade.py, result_of; no code path made one); a body announced as too large was still asked for by '100 Continue'.

--- a/lilacfront/core/facade.py
+++ b/lilacfront/core/facade.py
@@ -34,23 +34,22 @@
 
 log = logging.getLogger(__name__)
 
-RESULTS = {
+RESULTS = {  # of attempts that may have run
     Ending.SERVED: i.Result.OK,
-    Ending.TURNED_AWAY: i.Result.TURNED_AWAY,
     Ending.ERROR: i.Result.ERROR,
-    Ending.NO_CONNECTION: i.Result.CONNECT_FAILED,
     Ending.BROKEN: i.Result.RESET,
     Ending.SILENT: i.Result.TIMEOUT,
     Ending.GIVEN_UP: i.Result.CANCELLED,
-    Ending.NOT_SENT: i.Result.NEVER_SENT,
 }
 OVERDUE_S = 0.005  # past its deadline, a request that the decisions have not ended is failed here
 
 
 def result_of(outcome: Outcome) -> i.Result:
     """What the module is told. What may have run is never told as never run."""
-    if not outcome.reach.never_ran or outcome.ending is Ending.TURNED_AWAY:
-        return RESULTS[outcome.ending]
+    if outcome.ending is Ending.TURNED_AWAY:
+        return i.Result.TURNED_AWAY
+    if not outcome.reach.never_ran:
+        return RESULTS.get(outcome.ending, i.Result.RESET)
     if outcome.ending in (Ending.NO_CONNECTION, Ending.BROKEN):
         return i.Result.CONNECT_FAILED
     return i.Result.NEVER_SENT
--- a/lilacfront/fronts/clickhouse.py
+++ b/lilacfront/fronts/clickhouse.py
@@ -41,6 +41,7 @@
     NOT_IMPLEMENTED: b"NOT_IMPLEMENTED",
     BAD_ARGUMENTS: b"BAD_ARGUMENTS",
 }
+TOO_LARGE = "the body is larger than this gateway takes"
 _CODE = re.compile(rb"Code: (\d{1,5})\b")
 
 
@@ -242,7 +243,7 @@
         self.front.bodies_left -= size - self.held
         self.held = size
         if size and (size > self.front.body_most or self.front.bodies_left < 0):
-            raise http1.HttpError(413, "the body is larger than this gateway takes")
+            raise http1.HttpError(413, TOO_LARGE)
 
     def _receive(self, task: Task) -> tuple[http1.Head, bytes] | None:
         """The next whole request; None if there is none."""
@@ -252,6 +253,9 @@
             while self.parts:
                 match self.parts.pop(0):
                     case http1.Head() as head:
+                        length = head.get(b"content-length")
+                        if length and int(length) > self.front.body_most:
+                            raise http1.HttpError(413, TOO_LARGE)
                         if head.get(b"expect").lower() == b"100-continue":
                             self.stream.write(http1.CONTINUE)
                     case http1.Body(data):
--- /dev/null
+++ b/tests/test_parts.py
@@ -0,0 +1,204 @@
+"""The scheduler, the configuration and the command line, each alone."""
+
+import json
+import logging
+import socket
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+from click.testing import CliRunner
+from play import GATEWAY, SETTINGS, Clock
+
+from lilacfront import config as configuration
+from lilacfront.cli import Sparing, main
+from lilacfront.core.facade import result_of
+from lilacfront.core.model import Chosen, Ending, Engine, Outcome, Reach, Request
+from lilacfront.interface import Result
+from lilacfront.sched import Interrupted, Loop, Stream, Task, TimedOut
+from lilacfront.sched.mailbox import Mailbox
+from lilacfront.warehouses.clickhouse import HttpWarehouses
+from lilacfront.warehouses.resp import RespWarehouses
+
+FILE = {"listen": "127.0.0.1:7001", "seed": "a1", "settings": SETTINGS}
+
+
+@pytest.fixture
+def loop() -> Iterator[Loop]:
+    made = Loop(Clock())
+    yield made
+    made.close()
+
+
+def pair(loop: Loop, most: int) -> tuple[Stream, socket.socket]:
+    listener = socket.create_server(("127.0.0.1", 0))
+    peer = socket.create_connection(listener.getsockname())
+    near, _ = listener.accept()
+    listener.close()
+    return Stream(loop, near, most), peer
+
+
+def turns(loop: Loop, seconds: float) -> None:
+    for _ in range(int(seconds * 10)):
+        loop._clock.now += 0.1  # type: ignore[attr-defined]
+        loop.turn(0)
+
+
+def test_a_wait_ends_by_its_deadline_by_a_value_or_by_an_interruption_that_is_not_lost(loop: Loop) -> None:
+    seen: list[object] = []
+    box: Mailbox[int] = Mailbox(loop)
+
+    def run(task: Task) -> None:
+        seen.append(box.get(task, loop.now + 1))
+        seen.append(box.get(task, loop.now + 1))
+        seen.append(box.get(task, loop.now + 1))
+        task.settle()
+        seen.append(box.get(task, loop.now))
+
+    task = loop.spawn(run)
+    turns(loop, 1.5)
+    box.put(7)
+    task.interrupt()  # before the task has run on: the value stays for later
+    turns(loop, 0.5)
+    assert seen == [TimedOut, Interrupted, Interrupted, 7]
+
+
+def test_a_task_that_fails_leaves_the_others_running(loop: Loop, caplog: pytest.LogCaptureFixture) -> None:
+    done: list[int] = []
+    loop.spawn(lambda task: 1 // 0)  # type: ignore[arg-type, return-value]
+    loop.at(loop.now, lambda: done.append(1 // 0))
+    loop.spawn(lambda task: done.append(1))
+    turns(loop, 0.2)
+    assert done == [1] and len(caplog.records) == 2
+
+
+def test_a_peer_that_does_not_read_is_cut_off_by_size_and_by_time(loop: Loop) -> None:
+    stream, peer = pair(loop, 64 << 20)
+    stream.write(b"x" * (32 << 20))
+    turns(loop, 4.5)
+    assert not stream.closed
+    turns(loop, 1)
+    assert stream.closed
+    other, second = pair(loop, 1000)
+    other.write(b"x" * 1001)
+    assert other.closed
+    peer.close()
+    second.close()
+
+
+def test_bytes_that_have_not_begun_to_leave_can_be_taken_back(loop: Loop) -> None:
+    stream, peer = pair(loop, 1000)
+    first, second = stream.write(b"first"), stream.write(b"second")
+    assert first.withdraw()
+    turns(loop, 0.1)
+    assert second.whole and not second.withdraw() and peer.recv(100) == b"second"
+    stream.close()
+    peer.close()
+
+
+@pytest.mark.parametrize("kind", ["resp", "http"])
+def test_no_send_begins_to_an_engine_that_left_while_the_connection_came_up(loop: Loop, kind: str) -> None:
+    listener = socket.create_server(("127.0.0.1", 0))
+    engine = Engine(1, listener.getsockname())
+    made: list[Outcome] = []
+
+    class Left:
+        def may_send(self, engine: Engine) -> bool:
+            return False
+
+        def noted(self, note: object) -> None: ...
+        def on_priority(self, change: object) -> None: ...
+
+    def run(task: Task) -> None:
+        attempts = (
+            RespWarehouses(loop, (b"lookup",), 32, 1, 30, 9)
+            if kind == "resp"
+            else HttpWarehouses(loop, 1, 5, 9)
+        )
+        request = Request(b"a", 0, loop.now + 4, b"select 1")
+        made.append(attempts.attempt(task, Chosen(engine, 0, 1, loop.now + 4), request, None, Left()))  # type: ignore[arg-type]
+        attempts.shut(1, True)
+
+    loop.spawn(run)
+    turns(loop, 1)
+    (outcome,) = made
+    assert (outcome.ending, outcome.reach) == (Ending.NOT_SENT, Reach.UNWRITTEN)
+    assert listener.accept()[0].recv(100) == b""
+    listener.close()
+
+
+@pytest.mark.parametrize("ending", list(Ending))
+@pytest.mark.parametrize("reach", list(Reach))
+def test_what_may_have_run_is_never_told_as_never_run(ending: Ending, reach: Reach) -> None:
+    never = result_of(Outcome(ending, reach)) in (
+        Result.TURNED_AWAY,
+        Result.CONNECT_FAILED,
+        Result.NEVER_SENT,
+    )
+    assert never == (reach <= Reach.UNWRITTEN or ending is Ending.TURNED_AWAY)
+
+
+def changed(**changes: object) -> bytes:
+    return json.dumps({**FILE, **changes}).encode()
+
+
+def settings(key: str, value: object) -> dict[str, object]:
+    return {**SETTINGS, "policy-limits": {**SETTINGS["policy-limits"], key: value}}
+
+
+@pytest.mark.parametrize(
+    "text, gateway, key",
+    [
+        (b"{", "", "PROXY_CONFIG"),
+        (b"{}", "", "listen"),
+        (changed(listen="nowhere"), "", "listen"),
+        (changed(changelog="x:y"), "", "changelog"),
+        (changed(seed="zz"), "", "seed"),
+        (changed(limits={"sockets": "many"}), "", "limits.sockets"),
+        (changed(settings={**SETTINGS, "classes": []}), "", "classes"),
+        (changed(settings=settings("streams-per-conn", 0)), "", "streams-per-conn"),
+        (changed(known={"results": [{"seq": "x"}]}), "", "known.results[0].seq"),
+        (changed(), "[clickhouse]\nport = 1", "port"),
+        (changed(), GATEWAY.replace('"report"', '"load"'), "clickhouse.read_class"),
+        (changed(), GATEWAY.replace('"load"', '"lookup"'), "clickhouse.load_class"),
+        (changed(), GATEWAY.replace('user = "dash"', 'pattern = "("'), "clickhouse.rules[0].pattern"),
+        (changed(), GATEWAY.replace('protocol = "clickhouse"', ""), "warehouses.protocol"),
+        (changed(), '[etcd]\nendpoints = ["http"]', "etcd.endpoints[0]"),
+    ],
+)
+def test_a_message_names_the_faulty_key(text: bytes, gateway: str, key: str) -> None:
+    with pytest.raises(configuration.ConfigError) as caught:
+        configuration.parse(text, {}, gateway.encode())
+    assert key in str(caught.value)
+
+
+def test_the_shipped_gateway_file_is_off_and_right_once_it_is_no_comment() -> None:
+    text = (Path(__file__).parent.parent / "deploy" / "clickhouse.toml").read_text()
+    gateway = configuration.parse(changed(), {}, text.encode()).gateway
+    assert gateway.front is None and not gateway.http_warehouses and not gateway.etcd
+    lines = [line[2:] for line in text.splitlines()[3:] if line.startswith("# ")]
+    gateway = configuration.parse(changed(), {}, "\n".join(lines).encode()).gateway
+    assert gateway.front is not None and gateway.front.listen == ("127.0.0.1", 8123) and gateway.etcd
+
+
+def test_the_command_line(tmp_path: Path) -> None:
+    runner = CliRunner()
+    assert runner.invoke(main, ["version"]).exit_code == 0
+    missing = runner.invoke(main, ["check-config"], env={"PROXY_CONFIG": str(tmp_path / "none")})
+    assert missing.exit_code == 1 and "PROXY_CONFIG" in missing.output
+    (tmp_path / "config.json").write_bytes(changed())
+    right = runner.invoke(main, ["check-config"], env={"PROXY_CONFIG": str(tmp_path / "config.json")})
+    assert right.exit_code == 0 and "3 classes" in right.output
+
+
+def test_the_log_lets_through_so_many_lines_and_tells_how_many_it_left_out() -> None:
+    sparing = Sparing(most=2, period_s=10)
+
+    def said(at: float) -> logging.LogRecord | None:
+        record = logging.LogRecord("a", logging.WARNING, "", 0, "text", (), None)
+        record.created = at
+        return record if sparing.filter(record) else None
+
+    assert [said(at) is not None for at in (1, 2, 3, 4)] == [True, True, False, False]
+    later = said(11.5)
+    assert later is not None and later.msg == "(2 lines left out) text"
