--- a/lilacfront/config.py
+++ b/lilacfront/config.py
@@ -122,9 +122,9 @@
     gateway: Gateway
 
 
-def _address(text: str, key: str) -> tuple[str, int]:
+def _address(text: str, key: str, least: int = 1) -> tuple[str, int]:
     try:
-        return parse_address(text)
+        return parse_address(text, least)
     except ListError as problem:
         raise ConfigError(f"{key}: {problem}") from problem
 
@@ -164,7 +164,7 @@
         if not 0 < size <= 64:
             raise ConfigError(f"clickhouse.{key}: {size} is not from 1 to 64")
     return HttpFront(
-        _address(raw.listen, "clickhouse.listen"),
+        _address(raw.listen, "clickhouse.listen", 0),
         Classes(
             of(raw.read_class, "clickhouse.read_class", False),
             of(raw.load_class, "clickhouse.load_class", True),
@@ -221,7 +221,7 @@
     limits = raw.settings.get("policy-limits") or {}
     return Config(
         name=environment.get("PROXY_NAME", raw.name),
-        listen=_address(listen, "PROXY_LISTEN" if "PROXY_LISTEN" in environment else "listen"),
+        listen=_address(listen, "PROXY_LISTEN" if "PROXY_LISTEN" in environment else "listen", 0),
         seed=seed,
         sockets=raw.limits.sockets,
         changelog=_address(raw.changelog, "changelog") if raw.changelog else None,
--- a/lilacfront/membership/fleet.py
+++ b/lilacfront/membership/fleet.py
@@ -38,9 +38,9 @@
     """An entry that can't be used; the text names what is wrong."""
 
 
-def parse_address(text: str) -> tuple[str, int]:
+def parse_address(text: str, least: int = 1) -> tuple[str, int]:
     host, _, port = text.rpartition(":")
-    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+    if not host or not port.isdigit() or not least <= int(port) < 65536:
         raise ListError(f"{text!r} is not HOST:PORT")
     return host, int(port)
 
--- a/lilacfront/warehouses/resp.py
+++ b/lilacfront/warehouses/resp.py
@@ -20,6 +20,7 @@
 PAGES_MOST = 64
 PAGE_S = 1.0  # a page that takes longer is lost: its warehouse has gone silent
 IDLE_SHARE = 0.8  # of the time after which warehouses close idle connections: closing first avoids the race
+LOOK_S = 0.05  # least time between two looks at whether a connection has been idle for long
 UNDONE_S = 30.0  # an answer to what was given up comes no later than this
 QUEUED_MOST = 1 << 20  # bytes for a warehouse that does not read
 NOTES = {b"so_far": NoteKind.PROGRESS, b"lacking": NoteKind.SPILLS}
@@ -116,7 +117,7 @@
     def _read(self, task: Task, stream: Stream) -> None:
         parser = resp.Parser()
         while not stream.closed:
-            idle_until = self.idle_since + self.idle_s
+            idle_until = max(self.idle_since + self.idle_s, self.loop.now + LOOK_S)
             got = stream.read(task, idle_until if not self.open else self.loop.now + self.idle_s)
             if isinstance(got, Wait):
                 if not self.load and self.loop.now >= self.idle_since + self.idle_s:
--- a/tests/play.py
+++ b/tests/play.py
@@ -3,7 +3,8 @@
 A step is a line `ACTOR VERB REST`; lines that begin with `|` add a line that CR LF ends, those with `.` one
 as it is. Actors: C1, C2 … clients; W1, W2 warehouses; L the change log; E etcd. Verbs on bytes: `>` the
 actor sends, `<` it must get exactly these next. `$W1` stands for a warehouse's address. Other verbs:
-`!close`, `!reset`, `!eof` (the program ends the connection), `!nothing` (nothing more has come), `!refuse`.
+`!close`, `!reset`, `!eof` (the program ends the connection), `!nothing` (nothing more has come), `!refuse`,
+`!full` (connections no longer come up).
 Without an actor: `wait MS` moves the clock, `term` is SIGTERM, `ends` means the program has ended by itself.
 The rest of the verbs are a dialect's words, as in `C1 ask a lookup 4000 select 1`, and stand for its bytes.
 """
@@ -59,7 +60,7 @@
 }
 GATEWAY = """
 [clickhouse]
-listen = "127.0.0.1:1"
+listen = "127.0.0.1:0"
 read_class = "report"
 load_class = "load"
 rules = [{class = "lookup", user = "dash"}]
@@ -132,7 +133,7 @@
         fleet = [self.entry(f"W{n + 1}") for n in range(engines)]
         raw = {
             "name": "n0",
-            "listen": "127.0.0.1:1",
+            "listen": "127.0.0.1:0",
             "seed": "7",
             "changelog": self.actors["L"].address,
             "known": {"seq": 1, "results": [{"seq": 1, "fleet": {"reset": True, "instances": fleet}}]},
@@ -142,9 +143,6 @@
         text = json.dumps(raw).encode()
         gateway = dialect.gateway.replace("$E", self.actors["E"].address)
         config = configuration.parse(text, {}, gateway.encode())
-        config.listen = ("127.0.0.1", 0)
-        if config.gateway.front is not None:
-            config.gateway.front.listen = ("127.0.0.1", 0)
         self.server = Server(config, Loop(self.clock))
         self.turn()
 
@@ -248,6 +246,18 @@
                 assert actor.listener is not None
                 actor.listener.close()
                 actor.listener = None
+            case "full":
+                # No connection comes up any more: the backlog is one, and it is taken.
+                assert actor.listener is not None
+                actor.listener.listen(0)
+                address = actor.listener.getsockname()
+                actor.others.append(actor.listener)
+                actor.listener = None
+                for _ in range(4):
+                    filler = socket.socket()
+                    filler.setblocking(False)
+                    filler.connect_ex(address)
+                    actor.others.append(filler)
             case "eof":
                 self.until(lambda: actor.eof, "the end of the connection")
                 assert not actor.got, f"got {actor.got!r}"
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -2,19 +2,24 @@
 
 import json
 import logging
+import os
+import signal
 import socket
+import subprocess
+import sys
 from collections.abc import Iterator
 from pathlib import Path
 
 import pytest
 from click.testing import CliRunner
-from play import GATEWAY, SETTINGS, Clock
+from play import GATEWAY, SETTINGS, Clock, ThriftResp
 
 from lilacfront import config as configuration
 from lilacfront.cli import Sparing, main
 from lilacfront.core.facade import result_of
 from lilacfront.core.model import Chosen, Ending, Engine, Outcome, Reach, Request
 from lilacfront.interface import Result
+from lilacfront.protocols import thrift
 from lilacfront.sched import Interrupted, Loop, Stream, Task, TimedOut
 from lilacfront.sched.mailbox import Mailbox
 from lilacfront.warehouses.clickhouse import HttpWarehouses
@@ -191,6 +196,26 @@
     assert right.exit_code == 0 and "3 classes" in right.output
 
 
+def test_the_program_serves_and_ends_after_sigterm(tmp_path: Path) -> None:
+    (tmp_path / "config.json").write_bytes(changed(listen="127.0.0.1:0"))
+    command = [sys.executable, "-m", "lilacfront", "serve"]
+    environment = {**os.environ, "PROXY_CONFIG": str(tmp_path / "config.json")}
+    with subprocess.Popen(command, env=environment, stderr=subprocess.PIPE) as program:
+        try:
+            assert program.stderr is not None
+            line = program.stderr.readline()
+            assert b"serves at" in line
+            with socket.create_connection(("127.0.0.1", int(line.rpartition(b":")[2])), 20) as client:
+                for good in (True, False):
+                    client.sendall(ThriftResp.ping)
+                    answer = thrift.answer(b"ping", 1, b"", good)
+                    assert client.recv(len(answer), socket.MSG_WAITALL) == answer
+                    program.send_signal(signal.SIGTERM)
+            assert program.wait(20) == 0
+        finally:
+            program.kill()
+
+
 def test_the_log_lets_through_so_many_lines_and_tells_how_many_it_left_out() -> None:
     sparing = Sparing(most=2, period_s=10)
 
--- a/tests/test_rules_on_sockets.py
+++ b/tests/test_rules_on_sockets.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 import pytest
-from play import EXCHANGES, Dialect, Etcd, Http, Stage, ThriftResp
+from play import EXCHANGES, SETTINGS, Dialect, Etcd, Http, Stage, ThriftResp
 
 PATHS = [pytest.param(ThriftResp, id="thrift-resp"), pytest.param(Http, id="http")]
 
@@ -33,7 +33,9 @@
 def play(name: str, dialect: Dialect, split: bool) -> None:
     text = (EXCHANGES / f"{name}.txt").read_text()
     first = text.splitlines()[0]
-    stage = Stage(dialect, split, engines=0 if "no warehouses" in first else 2)
+    streams = {"streams-per-conn": 1 if "one stream" in first else 32}
+    settings = {**SETTINGS, "policy-limits": {**SETTINGS["policy-limits"], **streams}}
+    stage = Stage(dialect, split, engines=0 if "no warehouses" in first else 2, settings=settings)
     try:
         stage.play(text)
     finally:
