--- a/tests/play.py
+++ b/tests/play.py
@@ -4,7 +4,7 @@
 as it is. Actors: C1, C2 … clients; W1, W2 warehouses; L the change log; E etcd. Verbs on bytes: `>` the
 actor sends, `<` it must get exactly these next. `$W1` stands for a warehouse's address. Other verbs:
 `!close`, `!reset`, `!eof` (the program ends the connection), `!nothing` (nothing more has come), `!refuse`,
-`!full` (connections no longer come up).
+`!full` (connections no longer come up), `!second` (the one in hand is its second).
 Without an actor: `wait MS` moves the clock, `term` is SIGTERM, `ends` means the program has ended by itself.
 The rest of the verbs are a dialect's words, as in `C1 ask a lookup 4000 select 1`, and stand for its bytes.
 """
@@ -258,6 +258,8 @@
                     filler.setblocking(False)
                     filler.connect_ex(address)
                     actor.others.append(filler)
+            case "second":
+                assert len(actor.others) == 1, "not a second connection"
             case "eof":
                 self.until(lambda: actor.eof, "the end of the connection")
                 assert not actor.got, f"got {actor.got!r}"
