--- a/lilacfront/cli.py
+++ b/lilacfront/cli.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import logging
+import signal
 import sys
+from functools import partial
 from importlib import metadata
 from pathlib import Path
 
@@ -55,13 +57,15 @@
 @gateway_option
 @click.option("--verbose", is_flag=True, help="Log more than starts, ends and faults.")
 def serve(gateway: Path, verbose: bool) -> None:
-    """Serve until SIGTERM; PROXY_CONFIG names the configuration."""
+    """Serve until SIGTERM; PROXY_CONFIG names the configuration, which SIGHUP has read again."""
+    # Guard: until there is something to do on it, SIGHUP must not end the program.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     level = logging.INFO if verbose else logging.WARNING
     handler = logging.StreamHandler(sys.stderr)
     if not verbose:
         handler.addFilter(Sparing())
     logging.basicConfig(handlers=[handler], level=level, format="%(levelname)s %(name)s: %(message)s")
-    Server(_load(gateway)).run()
+    Server(_load(gateway), read_again=partial(configuration.load, gateway)).run()
 
 
 @main.command()
--- a/lilacfront/membership/changelog.py
+++ b/lilacfront/membership/changelog.py
@@ -12,7 +12,7 @@
 
 log = logging.getLogger(__name__)
 CONNECT_S = 0.5
-SILENT_S = 2.5  # a line comes every second; a log silent for longer has lost this connection
+SILENT_S = 1.8  # a whole line comes every second; a log without one for longer has lost this connection
 AGAIN_S = 0.1  # between two connections
 LINE_MOST = 4 << 20
 
@@ -46,9 +46,20 @@
         self, loop: Loop, address: tuple[str, int], seq: int, heard: Callable[[Fleet], None]
     ) -> None:
         self.loop, self.address, self.seq, self.heard = loop, address, seq, heard
+        self._task: Task | None = None
+
+    def move(self, address: tuple[str, int]) -> None:
+        """Follow the log at this address from now on, from the last event taken."""
+        if address != self.address:
+            self.address = address
+            if self._task is not None:
+                self._task.interrupt()  # whatever it waits for: the old address tells nothing more
 
     def run(self, task: Task) -> None:
-        while not task.interrupted:
+        self._task = task
+        while True:
+            if task.interrupted:
+                task.settle()
             made = Stream.connect(self.loop, task, self.address, self.loop.now + CONNECT_S, 1 << 16)
             if isinstance(made, Stream):
                 try:
@@ -59,17 +70,24 @@
                     log.exception("change log")
                 finally:
                     made.close()
-            self.loop.sleep(task, self.loop.now + AGAIN_S)
+            if not task.interrupted:
+                self.loop.sleep(task, self.loop.now + AGAIN_S)
 
     def _follow(self, task: Task, stream: Stream) -> None:
-        """Take events until the connection ends, falls silent, or turns out to have left one out."""
+        """Take events until the connection ends, falls silent, or turns out to have left one out.
+
+        Guard: only a whole line shows that the log is alive. One that stops within a line, or lets it
+        drip, would else be listened to for ever.
+        """
         stream.write(b"since %d\n" % self.seq)
-        rest = b""
+        rest, until = b"", self.loop.now + SILENT_S
         while True:
-            got = stream.read(task, self.loop.now + SILENT_S)
+            got = stream.read(task, until)
             if not isinstance(got, bytes) or not got:
                 return
             *lines, rest = (rest + got).split(b"\n")
+            if any(line.strip() for line in lines):
+                until = self.loop.now + SILENT_S
             if len(rest) > LINE_MOST:
                 log.warning("change log: a line over %d bytes", LINE_MOST)
                 return
--- a/lilacfront/sched/loop.py
+++ b/lilacfront/sched/loop.py
@@ -21,6 +21,7 @@
 import greenlet
 
 log = logging.getLogger(__name__)
+IDLE_TIMERS = 256  # timers of waits that are over, kept in the heap before it is cleared of them
 POLL_MOST = 1.0  # seconds a poll lasts at most, so that a lost wake-up could not stall the program
 
 
@@ -82,7 +83,8 @@
         self.writing: set[object] = set()  # streams whose bytes the kernel has not all taken yet
         self._poll = select.poll()
         self._watched: dict[int, Callable[[int], None]] = {}
-        self._timers: list[tuple[float, int, Callable[[], None]]] = []
+        self._timers: list[tuple[float, int]] = []
+        self._due: dict[int, Callable[[], None] | Task] = {}  # by ticket; a wait that is over has none
         self._tickets = count(1)
         self.stopping = False
         self._wake_in, self.wake_out = socket.socketpair()
@@ -117,15 +119,23 @@
         ticket = task.waiting = next(self._tickets)
         if arm is not None:
             arm(ticket)
-        self.at(until, lambda: task.wake(TimedOut, ticket))
-        return self.hub.switch()
+        heapq.heappush(self._timers, (until, ticket))
+        self._due[ticket] = task
+        woken = self.hub.switch()
+        # Guard: a wait that ended early must not keep its task and timer until its deadline.
+        if self._due.pop(ticket, None) is not None and len(self._timers) > 2 * len(self._due) + IDLE_TIMERS:
+            self._timers = [one for one in self._timers if one[1] in self._due]
+            heapq.heapify(self._timers)
+        return woken
 
     def sleep(self, task: Task, until: float) -> Wait:
         self.wait(task, until)
         return Interrupted if task.interrupted else TimedOut
 
     def at(self, when: float, call: Callable[[], None]) -> None:
-        heapq.heappush(self._timers, (when, next(self._tickets), call))
+        ticket = next(self._tickets)
+        heapq.heappush(self._timers, (when, ticket))
+        self._due[ticket] = call
 
     # ---- descriptors ------------------------------------------------------------------------------
     def watch(self, fd: int, events: int, call: Callable[[int], None]) -> None:
@@ -151,6 +161,8 @@
 
     def turn(self, most: float) -> None:
         """Wait for what comes next, `most` seconds at most, then run all that is ready."""
+        while self._timers and self._timers[0][1] not in self._due:
+            heapq.heappop(self._timers)
         if self.ready or self.dirty:
             most = 0.0
         elif self._timers:
@@ -162,7 +174,12 @@
             if call is not None:
                 self._safely(call, what)
         while self._timers and self._timers[0][0] <= self.now:
-            self._safely(heapq.heappop(self._timers)[2])
+            ticket = heapq.heappop(self._timers)[1]
+            due = self._due.pop(ticket, None)
+            if isinstance(due, Task):
+                due.wake(TimedOut, ticket)
+            elif due is not None:
+                self._safely(due)
         while self.ready:
             task, value = self.ready.popleft()
             task.switch(value)
--- a/lilacfront/server.py
+++ b/lilacfront/server.py
@@ -6,8 +6,11 @@
 import logging
 import math
 import signal
+from collections.abc import Callable
 
-from lilacfront.config import Config
+from msgspec.structs import replace
+
+from lilacfront.config import Config, ConfigError
 from lilacfront.core.facade import Facade
 from lilacfront.core.model import Attempts
 from lilacfront.fronts.clickhouse import ClickHouseFront
@@ -26,8 +29,11 @@
 class Server:
     """One front end."""
 
-    def __init__(self, config: Config, loop: Loop | None = None) -> None:
+    def __init__(
+        self, config: Config, loop: Loop | None = None, read_again: Callable[[], Config] | None = None
+    ) -> None:
         self.config, self.loop, self.leaving_at = config, loop or Loop(), math.inf
+        self._read_again = read_again
         settings = config.settings
         self.facade = Facade(self.loop, settings, config.seed)
         self.roster = Roster(config.zones, config.kinds)
@@ -68,11 +74,13 @@
             )
             self.listeners.append(clickhouse.listen(http.listen, share // 2))
         self.loop.spawn(self.facade.run_timers)
+        self.changelog: ChangeLog | None = None
         if config.gateway.etcd:
             watch = EtcdWatch(self.loop, config.gateway.etcd, config.gateway.prefix, self.heard)
             self.loop.spawn(watch.run)
         elif config.changelog is not None:
-            self.loop.spawn(ChangeLog(self.loop, config.changelog, config.known.seq, self.heard).run)
+            self.changelog = ChangeLog(self.loop, config.changelog, config.known.seq, self.heard)
+            self.loop.spawn(self.changelog.run)
 
     def healthy(self) -> bool:
         return self.leaving_at == math.inf
@@ -81,6 +89,25 @@
         news, addresses = self.roster.news(fleet)
         self.facade.fleet(news, addresses)
 
+    def reload(self) -> None:
+        """Read the configuration again. The change log may have moved; all else holds until a restart."""
+        if self._read_again is None:
+            return
+        try:
+            config = self._read_again()
+        except ConfigError as problem:
+            # Guard: a file that can't be used must not end a program that serves.
+            log.error("the configuration can't be used, the old one stays: %s", problem)
+            return
+        if self.changelog is not None and config.changelog is not None:
+            self.changelog.move(config.changelog)
+        elif config.changelog != self.config.changelog:
+            log.warning("changelog: whether there is one changes only by a restart")
+        if replace(config, changelog=None, known=None) != replace(self.config, changelog=None, known=None):
+            log.warning("of the new configuration only changelog is taken; the rest waits for a restart")
+        self.config = replace(self.config, changelog=config.changelog)
+        log.warning("configuration read again; change log at %s", config.changelog)
+
     def leave(self) -> None:
         """Begin to end: `ping` answers not good, the rest goes on until all that comes is answered."""
         if self.leaving_at == math.inf:
@@ -105,6 +132,8 @@
     def run(self) -> None:
         signal.signal(signal.SIGTERM, lambda *_: self.leave())
         signal.signal(signal.SIGINT, lambda *_: self.leave())
+        # In a task of its own, not within whatever the signal happens to interrupt.
+        signal.signal(signal.SIGHUP, lambda *_: self.loop.spawn(lambda _: self.reload()))
         signal.set_wakeup_fd(self.loop.wake_out.fileno(), warn_on_full_buffer=False)
         gc.collect()
         gc.freeze()  # what the start made stays: later collections need not walk it
--- a/tests/play.py
+++ b/tests/play.py
@@ -5,7 +5,8 @@
 actor sends, `<` it must get exactly these next. `$W1` stands for a warehouse's address. Other verbs:
 `!close`, `!reset`, `!eof` (the program ends the connection), `!nothing` (nothing more has come), `!refuse`,
 `!full` (connections no longer come up), `!second` (the one in hand is its second).
-Without an actor: `wait MS` moves the clock, `term` is SIGTERM, `ends` means the program has ended by itself.
+Without an actor: `wait MS` moves the clock, `term` is SIGTERM, `hup A` is SIGHUP with the change log now at
+actor A (`hup` alone: with a file that can't be used), `ends` means the program has ended by itself.
 The rest of the verbs are a dialect's words, as in `C1 ask a lookup 4000 select 1`, and stand for its bytes.
 """
 
@@ -129,7 +130,7 @@
 
     def __init__(self, dialect: Dialect, split: bool = False, engines: int = 2, **changes: Any) -> None:
         self.clock, self.dialect, self.split = Clock(), dialect, split
-        self.actors = {name: Actor(True) for name in ("W1", "W2", "L", "E")}
+        self.actors = {name: Actor(True) for name in ("W1", "W2", "L", "M", "E")}
         fleet = [self.entry(f"W{n + 1}") for n in range(engines)]
         raw = {
             "name": "n0",
@@ -140,10 +141,13 @@
             "settings": SETTINGS,
             **changes,
         }
-        text = json.dumps(raw).encode()
-        gateway = dialect.gateway.replace("$E", self.actors["E"].address)
-        config = configuration.parse(text, {}, gateway.encode())
-        self.server = Server(config, Loop(self.clock))
+        self.file = json.dumps(raw).encode()
+        gateway = dialect.gateway.replace("$E", self.actors["E"].address).encode()
+
+        def read() -> configuration.Config:
+            return configuration.parse(self.file, {}, gateway)
+
+        self.server = Server(read(), Loop(self.clock), read)
         self.turn()
 
     def entry(self, name: str, state: str = "ready") -> dict[str, Any]:
@@ -194,6 +198,11 @@
                 return self.wait(int(verb) / 1000)
             case "term":
                 return self.server.leave()
+            case "hup":
+                raw = json.loads(self.file)
+                raw["changelog"] = self.actors[verb].address if verb else "nowhere"
+                self.file = json.dumps(raw).encode()
+                return self.server.reload()
             case "ends":
                 return self.until(lambda: self.server.loop.stopping, "the end")
         actor = self.actors.get(name)
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -196,7 +196,7 @@
     assert right.exit_code == 0 and "3 classes" in right.output
 
 
-def test_the_program_serves_and_ends_after_sigterm(tmp_path: Path) -> None:
+def test_the_program_serves_reads_its_file_again_and_ends_after_sigterm(tmp_path: Path) -> None:
     (tmp_path / "config.json").write_bytes(changed(listen="127.0.0.1:0"))
     command = [sys.executable, "-m", "lilacfront", "serve"]
     environment = {**os.environ, "PROXY_CONFIG": str(tmp_path / "config.json")}
@@ -210,6 +210,9 @@
                     client.sendall(ThriftResp.ping)
                     answer = thrift.answer(b"ping", 1, b"", good)
                     assert client.recv(len(answer), socket.MSG_WAITALL) == answer
+                    if good:
+                        program.send_signal(signal.SIGHUP)
+                        assert b"configuration read again" in program.stderr.readline()
                     program.send_signal(signal.SIGTERM)
             assert program.wait(20) == 0
         finally:
