Attempts have connections of their own; spoilt answers end them; shared errors blame no engine

Checked against the code: - warehouses/resp.py _connection chose the fullest connection, so one spoilt answer or reset ended up to 32 attempts. Now an attempt takes an idle connection, or a new one up to six an engine, and shares only past that. - _Attempt._take failed a request on a second copy of HIT or PART; pages were passed on unread; an answer that stops short held its connection, with all on it, until the deadlines; lengths up to 64 MB an answer were allowed. Now copies are dropped, pages must be whole rows of three columns of text, four words an answer and 6,000 bytes a word at most, judged from the lengths, and an answer that has begun comes whole within 0.5 s. - A connection found ended before a write is not written to; what never left on one that broke is NEVER_SENT (facade.py, result_of) and no longer sets the engine aside; nor does a lack of descriptors here. - rules.py judge: resets of one connection count once; a request that fails on several engines is its own fault, is not held against them and ends after three; errors are weighed against those of the other engines.

Ruled out: the module's choice of engine, which was the same before and after.

--- a/lilacfront/core/facade.py
+++ b/lilacfront/core/facade.py
@@ -50,8 +50,9 @@
         return i.Result.TURNED_AWAY
     if not outcome.reach.never_ran:
         return RESULTS.get(outcome.ending, i.Result.RESET)
-    if outcome.ending in (Ending.NO_CONNECTION, Ending.BROKEN):
+    if outcome.ending is Ending.NO_CONNECTION:
         return i.Result.CONNECT_FAILED
+    # Guard: a connection that ended before anything left on it says nothing against the engine.
     return i.Result.NEVER_SENT
 
 
--- a/lilacfront/protocols/resp.py
+++ b/lilacfront/protocols/resp.py
@@ -16,14 +16,20 @@
 
 
 class Parser:
-    """Turns bytes, however they were split, into arrays of words."""
+    """Turns bytes, however they were split, into arrays of words, of so many words and bytes a word."""
 
-    def __init__(self) -> None:
+    def __init__(self, words: tuple[int, int] = (1, WORDS_MOST), bulk_most: int = BULK_MOST) -> None:
+        self._of = {b"*": words, b"$": (0, bulk_most)}
         self._buffer = bytearray()
         self._words: list[bytes] = []
         self._left = 0  # words still to come; 0: between arrays
         self._bulk: int | None = None
 
+    @property
+    def within(self) -> bool:
+        """Whether an array has begun and is not whole."""
+        return bool(self._left or self._buffer)
+
     def feed(self, data: bytes) -> list[list[bytes]]:
         self._buffer += data
         done: list[list[bytes]] = []
@@ -46,7 +52,8 @@
                 done.append(self._words)
                 self._words = []
             return end + 2
-        sign, most = (b"$", BULK_MOST) if self._left else (b"*", WORDS_MOST)
+        sign = b"$" if self._left else b"*"
+        least, most = self._of[sign]
         end = self._buffer.find(b"\r\n", pos, pos + LINE_MOST)
         if end < 0:
             if len(self._buffer) - pos >= LINE_MOST:
@@ -56,7 +63,7 @@
         if line[:1] != sign or not line[1:].isdigit():
             raise RespError(f"{line!r} where {sign!r} and a length belong")
         size = int(line[1:])
-        if size > most or (sign == b"*" and not size):
+        if not least <= size <= most:
             raise RespError(f"a length of {size}")
         if sign == b"*":
             self._left = size
--- a/lilacfront/rules.py
+++ b/lilacfront/rules.py
@@ -42,6 +42,7 @@
 MISSED = 6.0  # answers due and not come: by chance that many go missing about once in 400 silences
 ERROR_SHARE = 0.3  # smoothed share of errors from which an engine is set aside
 ERROR_STEP = 0.2  # weight of one answer in that share: three errors in a row set an engine aside
+ERRORS_MOST = 3  # engines that answer a request with an error: it is the request's own, and is tried no more
 ASIDE_US, ASIDE_MOST_US = 500_000, 4_000_000  # first and longest rest before a trial; doubles in between
 ASIDE_PART = 0.5  # of the engines at most are set aside: beyond that the trouble is not the engines'
 COLD_MARGIN = 0.5  # of this gateway's part of a cold engine's budget is used: costs are guesses
@@ -145,6 +146,7 @@
         """A fresh process: what was learnt of the old one says nothing of it."""
         self.bound, self.ratio, self.full, self.most = bound, -1.0, False, 0
         self.errors, self.heard, self.aside_until, self.aside_for = 0.0, 0, 0, 0
+        self.broke_at = -STEP_US  # when a connection to it broke last
         self.sent: deque[tuple[int, float]] = deque()
         self.blocked: dict[int, int] = {}  # table group -> until when another's load is taken to hold it
 
@@ -609,10 +611,22 @@
                 self.ill.discard(engine.entry.engine)
         elif result in (i.Result.ERROR, i.Result.TURNED_AWAY, i.Result.RESET):
             # Guard: quick failures of any kind (errors, resets, no session) make an engine look idle and draw
-            # ever more to it. It could hurt when all fail alike; ASIDE_PART then leaves none out.
-            engine.errors += ERROR_STEP * (1.0 - engine.errors)
-            if engine.errors > ERROR_SHARE:
-                self.set_aside(engine)
+            # ever more to it. It could hurt when all fail alike: what they have in common is not held against
+            # one, nor is each of the many that end with one connection, nor what fails on every engine.
+            if result is i.Result.RESET and self.now < engine.broke_at + STEP_US:
+                pass
+            elif result is i.Result.ERROR and (blamed := self.failed_elsewhere(job, attempt)):
+                for other in blamed:
+                    other.errors = max(0.0, other.errors - ERROR_STEP)
+                    if other.aside_until and other.errors <= ERROR_SHARE:
+                        other.aside_until = other.aside_for = 0
+                        self.ill.discard(other.entry.engine)
+            else:
+                engine.errors += ERROR_STEP * (1.0 - engine.errors)
+                others = [e.errors for e in self.here if e is not engine]
+                if engine.errors > ERROR_SHARE + (sum(others) / len(others) if others else 0.0):
+                    self.set_aside(engine)
+            engine.broke_at = self.now if result is i.Result.RESET else engine.broke_at
         elif result is i.Result.CONNECT_FAILED:
             self.set_aside(engine, max(ASIDE_US, self.round_us()))  # else over before its next query
         ratio = took / self.aim(job, event.work_us or job.req.work_us) / AIM_SHARE
@@ -625,6 +639,13 @@
             engine.learn(ratio, spec.threads, average, self.floor)
             self.pool.learn(ratio, spec.threads, 1.0, self.pool_floor, self.floor)
 
+    def failed_elsewhere(self, job: Job, attempt: Attempt) -> list[Engine]:
+        """The other engines that answered this request with an error: it is the request's own."""
+        errors = [a for a in job.attempts if a is not attempt and a.result is i.Result.ERROR]
+        return list(
+            {a.engine.entry.engine: a.engine for a in errors if a.engine is not attempt.engine}.values()
+        )
+
     def report(self, engine: Engine, load: float) -> None:
         """A load a core, as told or as would explain an attempt that never came back; below 0: forget it."""
         total = self.level * self.heard - engine.counted
@@ -643,7 +664,9 @@
 
     def again(self, job: Job) -> None:
         """After an attempt that failed: wait for another engine while it can pay, else end the request."""
-        if not any(self.may_send(job, e) for e in self.here):
+        last = job.attempts[-1]
+        hopeless = last.result is i.Result.ERROR and len(self.failed_elsewhere(job, last)) + 1 >= ERRORS_MOST
+        if hopeless or not any(self.may_send(job, e) for e in self.here):
             self.end(job)
             return
         pays = job.aim if job.spec.late_worth == 0 else job.deadline
--- a/lilacfront/sched/stream.py
+++ b/lilacfront/sched/stream.py
@@ -122,6 +122,15 @@
                 return ended
         return b""
 
+    def alive(self) -> bool:
+        """Whether the peer has not ended the connection, as far as can be known at this moment."""
+        try:
+            return not self.closed and bool(self.sock.recv(1, socket.MSG_PEEK))
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+
     def quiet(self) -> bool:
         """Whether the connection is open and nothing has come that was not read."""
         try:
--- a/lilacfront/warehouses/resp.py
+++ b/lilacfront/warehouses/resp.py
@@ -6,7 +6,8 @@
 from __future__ import annotations
 
 import logging
-from dataclasses import dataclass
+import re
+from dataclasses import dataclass, field
 from enum import Enum
 
 from lilacfront.core.model import Chosen, Ending, Engine, Note, Outcome, Reach, Request, Sink, Watch
@@ -16,13 +17,18 @@
 from lilacfront.sched.mailbox import Gate, Mailbox
 
 log = logging.getLogger(__name__)
+WORDS = 4  # of an answer: id, word, fields, body
+PAGE_MOST = 6_000  # bytes of a page, which is the longest word of an answer
 RESULT_MOST = 48_000  # bytes of a whole result
 PAGES_MOST = 64
 PAGE_S = 1.0  # a page that takes longer is lost: its warehouse has gone silent
+WHOLE_S = 0.5  # an answer that has begun comes whole within this
+CONNECTIONS_MOST = 6  # to one warehouse; below that each attempt has a connection of its own
 IDLE_SHARE = 0.8  # of the time after which warehouses close idle connections: closing first avoids the race
 LOOK_S = 0.05  # least time between two looks at whether a connection has been idle for long
 UNDONE_S = 30.0  # an answer to what was given up comes no later than this
 QUEUED_MOST = 1 << 20  # bytes for a warehouse that does not read
+ROWS = re.compile(rb"(?:[^\x00-\x1f\x7f]*\t[^\x00-\x1f\x7f]*\t[^\x00-\x1f\x7f]*\n)*")  # three columns of text
 NOTES = {b"so_far": NoteKind.PROGRESS, b"lacking": NoteKind.SPILLS}
 
 
@@ -42,10 +48,54 @@
 
 @dataclass(slots=True)
 class Open:
-    """An attempt on a connection."""
+    """An attempt on a connection, and what has come of its result."""
 
     chunk: Chunk
     inbox: Mailbox[Reply | Broken]
+    wanted: int = 0  # pages of the whole result, once known
+    pages: dict[int, bytes] = field(default_factory=dict)
+
+    def take(self, reply: Reply) -> None:
+        """Take one answer. What is no answer to it raises; a copy of what came before is dropped."""
+        if reply.word == b"HIT":
+            if self.wanted:
+                return
+            wanted = whole_number(reply.fields.get(b"pages", b"1"))
+            if not 1 <= wanted <= PAGES_MOST:
+                raise resp.RespError("a result of no sensible number of pages")
+            self.wanted = wanted
+            self._page(0, reply.body)
+        elif reply.word == b"PART":
+            page = whole_number(reply.fields.get(b"page", b""))
+            if page in self.pages or not self.wanted:
+                return
+            self._page(page, reply.body)
+        elif reply.word not in (b"SHED", b"LATE", b"FAULT", b"INFO"):
+            raise resp.RespError(f"an answer of the unknown word {reply.word[:20]!r}")
+        self.inbox.put(reply)
+
+    def _page(self, page: int, body: bytes) -> None:
+        if not 0 <= page < self.wanted:
+            raise resp.RespError("a page that was not asked for")
+        # Guard: what is not whole rows of three columns of text was spoilt on its way; nobody may get it.
+        if ROWS.fullmatch(body) is None or not is_text(body):
+            raise resp.RespError("a page that is not whole rows")
+        self.pages[page] = body
+        if sum(map(len, self.pages.values())) > RESULT_MOST:
+            raise resp.RespError("a result over the most that one may hold")
+
+
+def is_text(data: bytes) -> bool:
+    try:
+        data.decode()
+    except UnicodeDecodeError:
+        return False
+    return True
+
+
+def whole_number(text: bytes) -> int:
+    """A number as warehouses write it; -1 for what is none."""
+    return int(text) if text.isdigit() and len(text) < 10 else -1
 
 
 def parse_fields(raw: bytes) -> dict[bytes, bytes]:
@@ -115,30 +165,44 @@
             self.close()
 
     def _read(self, task: Task, stream: Stream) -> None:
-        parser = resp.Parser()
+        parser, whole_until = resp.Parser((WORDS, WORDS), PAGE_MOST), 0.0
         while not stream.closed:
-            idle_until = max(self.idle_since + self.idle_s, self.loop.now + LOOK_S)
-            got = stream.read(task, idle_until if not self.open else self.loop.now + self.idle_s)
+            until = self.loop.now + self.idle_s
+            if parser.within:
+                until = whole_until
+            elif not self.open:
+                until = max(self.idle_since + self.idle_s, self.loop.now + LOOK_S)
+            got = stream.read(task, until)
             if isinstance(got, Wait):
+                if parser.within:
+                    # Guard: an answer that stops short, or whose length swallows those behind it, leaves all
+                    # that is open here without an answer. The sooner they know, the more can be tried again.
+                    log.warning("warehouse %s:%d: an answer that stops short", *self.engine.address)
+                    return
                 if not self.load and self.loop.now >= self.idle_since + self.idle_s:
                     return
                 continue
             if not got:
                 return
             try:
-                for words in parser.feed(got):
+                answers = parser.feed(got)
+                for words in answers:
                     self._take(words)
             except resp.RespError as problem:
+                # Guard: past bytes that can't be read nothing on this connection can be trusted. All that is
+                # open on it ends as what may have run.
                 log.warning("warehouse %s:%d: %s", *self.engine.address, problem)
                 return
+            if not parser.within:
+                whole_until = 0.0
+            elif answers or not whole_until:
+                whole_until = self.loop.now + WHOLE_S
 
     def _take(self, words: list[bytes]) -> None:
-        if len(words) != 4:
-            raise resp.RespError(f"an answer of {len(words)} words")
         call, word, fields, body = words
         # Guard: an answer to what was given up, or to what was never asked, belongs to nobody.
         if (found := self.open.get(call)) is not None:
-            found.inbox.put(Reply(word, parse_fields(fields), body))
+            found.take(Reply(word, parse_fields(fields), body))
 
     def begin(self, call: bytes, command: bytes) -> Open:
         assert self.stream is not None
@@ -207,25 +271,41 @@
 
     def _connection(self, engine: Engine, call: bytes) -> Connection | None:
         """A connection with room that holds nothing of this request, made if need be."""
-        for number in list(self._pools):
-            self._pools[number] = [c for c in self._pools[number] if not c.closed]
+        for number, others in list(self._pools.items()):
+            self._pools[number] = [c for c in others if not c.closed]
         pool = self._pools.setdefault(engine.number, [])
+        for connection in pool:
+            # Guard: one that the warehouse has ended by now would make a write look as if it might have run.
+            if connection.stream is not None and not connection.load and not connection.stream.alive():
+                connection.close()
+        pool = self._pools[engine.number] = [c for c in pool if not c.closed]
         fit = [
             c
             for c in pool
             if c.engine == engine and c.load < self.streams and call not in c.undone and call not in c.open
         ]
-        if fit:
-            return max(fit, key=lambda c: (c.ready.open, c.load))
-        if sum(map(len, self._pools.values())) >= self.most:
-            return None
+        # Guard: an answer that can't be read, or a reset, ends all that is open on its connection. So
+        # attempts share one only where there would be too many. The one used last goes first: others may end.
+        free = [c for c in fit if not c.load]
+        if free:
+            return max(free, key=lambda c: c.idle_since)
+        held = sum(map(len, self._pools.values()))
+        if len(pool) >= CONNECTIONS_MOST and fit:
+            return min(fit, key=lambda c: c.load)
+        if held >= self.most:
+            if fit:
+                return min(fit, key=lambda c: c.load)
+            idle = [c for others in self._pools.values() for c in others if not c.load]
+            if not idle:
+                return None
+            min(idle, key=lambda c: c.idle_since).close()
         pool.append(Connection(self.loop, engine, self.connect_s, self.idle_s))
         return pool[-1]
 
     def attempt(self, task: Task, chosen: Chosen, request: Request, sink: Sink, watch: Watch) -> Outcome:
         connection = self._connection(chosen.engine, request.call)
         if connection is None:
-            return Outcome(Ending.NO_CONNECTION, Reach.NOT_CONNECTED)
+            return Outcome(Ending.NOT_SENT, Reach.NOT_CONNECTED)  # nothing is known against the engine
         connection.awaited += 1
         waited = connection.ready.wait(task, chosen.until)
         connection.awaited -= 1
@@ -252,15 +332,13 @@
         self.connection, self.call = connection, call
         self.entry = connection.begin(call, command)
         self.report: LoadReport | None = None
-        self.pages: dict[int, bytes] = {}
-        self.wanted = 0  # pages of the whole result, once known
 
     def run(self, task: Task, until: float, sink: Sink, watch: Watch) -> Outcome:
         watch.on_priority(self._bump)
         outcome: Outcome | None = None
         try:
             while outcome is None:
-                limit = min(until, self.connection.loop.now + PAGE_S) if self.wanted else until
+                limit = min(until, self.connection.loop.now + PAGE_S) if self.entry.wanted else until
                 got = self.entry.inbox.get(task, limit)
                 outcome = self._ended(got) if isinstance(got, Wait | Broken) else self._take(got, sink, watch)
         finally:
@@ -273,13 +351,13 @@
 
     def _last_words(self, outcome: Outcome | None) -> bytes | None:
         """What the warehouse must still hear: nothing, where it knows that this is over."""
-        if self.wanted:
-            return b"forget" if len(self.pages) < self.wanted else None
+        if self.entry.wanted:
+            return b"forget" if len(self.entry.pages) < self.entry.wanted else None
         told = outcome is not None and outcome.ending in (Ending.SERVED, Ending.TURNED_AWAY, Ending.ERROR)
         return None if told else b"undo"
 
     def _reach(self) -> Reach:
-        if self.wanted:
+        if self.entry.wanted:
             return Reach.ANSWERING
         chunk = self.entry.chunk
         if chunk.withdraw():
@@ -300,38 +378,23 @@
     def _take(self, reply: Reply, sink: Sink, watch: Watch) -> Outcome | None:
         self.report = parse_report(reply.fields.get(b"rep")) or self.report
         match reply.word:
-            case b"HIT" if not self.wanted:
-                return self._first_page(reply, sink)
-            case b"PART" if self.wanted:
-                return self._page(number(reply.fields.get(b"page", b"")), reply.body, sink)
+            case b"HIT" | b"PART":
+                return self._page(reply.word == b"HIT", sink)
             case b"INFO":
                 if (note := parse_note(reply.fields)) is not None:
                     watch.noted(note)
                 return None
-            case b"SHED" | b"LATE" if not self.wanted:
+            case b"SHED" | b"LATE" if not self.entry.wanted:
                 return Outcome(Ending.TURNED_AWAY, Reach.WRITTEN, self.report)
-            case b"FAULT":
-                return self._error(reply.body[:200])
-        return self._error(b"an answer that makes no sense here: " + reply.word[:20])
-
-    def _first_page(self, reply: Reply, sink: Sink) -> Outcome | None:
-        pages = number(reply.fields.get(b"pages", b"1"))
-        if pages is None or pages != int(pages) or not 1 <= pages <= PAGES_MOST:
-            return self._error(b"a result of no sensible number of pages")
-        self.wanted = int(pages)
-        asks = b"".join(resp.encode(b"page", self.call, b"%d" % n) for n in range(1, self.wanted))
-        if asks and self.connection.stream is not None:
-            self.connection.stream.write(asks)
-        return self._page(0, reply.body, sink)
-
-    def _page(self, page: float | None, body: bytes, sink: Sink) -> Outcome | None:
-        if page is None or page != int(page) or not 0 <= page < self.wanted or int(page) in self.pages:
-            return self._error(b"a page that was not asked for")
-        self.pages[int(page)] = body
-        if sum(map(len, self.pages.values())) > RESULT_MOST:
-            return self._error(b"a result over the most that one may hold")
-        if len(self.pages) < self.wanted:
+        return self._error(reply.body[:200])
+
+    def _page(self, first: bool, sink: Sink) -> Outcome | None:
+        pages, wanted = self.entry.pages, self.entry.wanted
+        if first and wanted > 1 and self.connection.stream is not None:
+            asks = (resp.encode(b"page", self.call, b"%d" % n) for n in range(1, wanted))
+            self.connection.stream.write(b"".join(asks))
+        if len(pages) < wanted:
             return None
-        if not sink.part(b"".join(self.pages[n] for n in range(self.wanted))):
+        if not sink.part(b"".join(pages[n] for n in range(wanted))):
             return self._error(b"the answer can't be passed on")
         return Outcome(Ending.SERVED, Reach.ANSWERING, self.report)
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -241,3 +241,42 @@
     gate.pool.used += 6
     (again,) = sends(ended(gate, 1000, send, i.Result.ERROR))
     assert again.engine == other.entry.engine
+
+
+def test_a_connection_that_breaks_counts_once_however_many_requests_were_open_on_it():
+    gate = gateway(settings(), entries(1))
+    held = [sends(ask(gate, 0, n))[0] for n in range(8)]
+    for send in held:
+        gate.handle(S, i.Outcome(send.request, 0, 1, i.Result.RESET, 0, True))
+    assert 0 < gate.engines[1].errors < 0.3 and not gate.engines[1].aside_until
+
+
+def test_a_request_that_fails_on_every_engine_is_not_held_against_them_nor_tried_for_ever():
+    gate = gateway(settings(), entries(6))
+    for n in range(10):
+        (send,) = sends(ask(gate, n * S, n))
+        tries = 1
+        while more := sends(ended(gate, n * S + 1000 * tries, send, i.Result.ERROR, attempt=tries - 1)):
+            (send,), tries = more, tries + 1
+        assert tries == 3
+    assert not any(e.aside_until for e in gate.engines.values())
+
+
+def test_errors_that_all_engines_share_set_none_aside():
+    gate = gateway(settings(replace(SHORT, effect=i.Effect.UNSAFE)), entries(4))
+    for engine in gate.engines.values():
+        engine.errors = 0.28
+    (send,) = sends(ask(gate, 0, 1))
+    ended(gate, 1000, send, i.Result.ERROR)
+    assert gate.engines[send.engine].errors > 0.3 and not gate.engines[send.engine].aside_until
+
+
+def test_nothing_is_kept_of_engines_that_are_gone():
+    gate = gateway(settings(), entries(2))
+    (send,) = sends(ask(gate, 0, 1))
+    gone = tuple(replace(e, condition=i.Condition.GONE) for e in entries(2))
+    gate.handle(S, i.EngineList(i.ListScope.DELTA, gone))
+    assert list(gate.engines) == [send.engine]
+    ended(gate, 2 * S, send, i.Result.RESET)
+    gate.handle(3 * S, i.EngineList(i.ListScope.DELTA, ()))
+    assert not gate.engines and not gate.heard
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -5,6 +5,7 @@
 import os
 import signal
 import socket
+import struct
 import subprocess
 import sys
 from collections.abc import Iterator
@@ -246,6 +247,23 @@
         stage.close()
 
 
+def test_a_connection_that_its_peer_has_ended_is_known_before_anything_is_written(loop: Loop) -> None:
+    for linger in (False, True):
+        stream, peer = pair(loop, 1000)
+        assert stream.alive()
+        if linger:
+            peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        peer.close()
+        assert not stream.alive()
+        stream.close()
+
+
+def test_what_never_left_on_a_broken_connection_is_no_fault_of_the_engine() -> None:
+    assert result_of(Outcome(Ending.BROKEN, Reach.UNWRITTEN)) is Result.NEVER_SENT
+    assert result_of(Outcome(Ending.BROKEN, Reach.PARTLY_WRITTEN)) is Result.RESET
+    assert result_of(Outcome(Ending.NO_CONNECTION, Reach.NOT_CONNECTED)) is Result.CONNECT_FAILED
+
+
 def test_a_wait_that_ended_early_leaves_neither_its_timer_nor_its_task_behind(loop: Loop) -> None:
     box: Mailbox[int] = Mailbox(loop)
     done: list[int] = []
