HTTP front and etcd watch: ends for what drips; pauses after errors; idle ones make room

Now a head is whole within 2 s of connecting or of its first byte, a body within 30 s with no silence over 2 s; heads count against the memory for bodies; after a request that can't be served the next is not read at once.

--- a/lilacfront/fronts/clickhouse.py
+++ b/lilacfront/fronts/clickhouse.py
@@ -26,7 +26,10 @@
 ROOM = 256 << 10  # bytes queued for a client up to which its result is read on
 EARLY_MOST = 64 << 10  # bytes of further requests that are taken in while one is served
 IDLE_S = 30.0  # a kept connection without a request is closed after this
-BODY_S = 30.0  # silence within a request after which it is given up
+HEAD_S = 2.0  # a head comes whole within this of connecting, or of its first byte
+SILENT_S = 2.0  # silence within a body after which the request is given up
+BODY_S = 30.0  # a whole body comes within this: what drips has no more time
+PAUSE_S, PAUSE_MOST_S = 0.1, 0.8  # after a request that can't be served none is read; doubles each time
 FINISH_S = 1.0  # for the client to take the last answer of a connection
 MARGIN_S = 0.012  # of a request's time is kept for the answer's way out
 SYNTAX, TIMEOUT, READONLY, TOO_MANY, NETWORK = 62, 159, 164, 202, 210
@@ -212,8 +215,9 @@
         self.parser = http1.Parser(responses=False)
         self.parts: list[http1.Part] = []
         self.early = b""
-        self.held = 0  # bytes of the body in hand
-        self.serving = False
+        self.held = 0  # bytes of the request in hand
+        self.serving = self.asked = False
+        self.pause_s = 0.0
 
     def run(self, task: Task) -> None:
         try:
@@ -246,10 +250,14 @@
         """The next whole request; None if there is none."""
         head: http1.Head | None = None
         body = bytearray()
+        until = self.loop.now + (IDLE_S if self.asked else HEAD_S)
+        self.seat.idle(self.asked)
         while True:
             while self.parts:
                 match self.parts.pop(0):
                     case http1.Head() as head:
+                        self.seat.busy()
+                        until = self.loop.now + BODY_S
                         length = head.get(b"content-length")
                         if length and int(length) > self.front.body_most:
                             raise http1.HttpError(413, TOO_LARGE)
@@ -260,16 +268,21 @@
                         self._hold(len(body))
                     case http1.End():
                         assert head is not None
+                        self.asked = True
                         return head, bytes(body)
             data, self.early = self.early, b""
-            got = data or self.stream.read(task, self.loop.now + (BODY_S if head else IDLE_S))
+            got = data or self.stream.read(task, min(until, self.loop.now + SILENT_S) if head else until)
             if isinstance(got, Wait):
-                if head is not None:
+                if head is not None or not self.parser.idle:
                     raise http1.HttpError(408, "the request did not come whole in time")
                 return None
             if not got:
                 return None
             self.parts += self.parser.feed(got)
+            if head is None and not self.parser.idle and self.loop.now + HEAD_S < until:
+                # Guard: a head that drips has no more time than one that stops.
+                until = self.loop.now + HEAD_S
+            self._hold(len(body) + self.parser.held)
 
     # ---- one request --------------------------------------------------------------------------------
     def _answer(self, task: Task, head: http1.Head, body: bytes, keep_alive: bool) -> None:
@@ -283,6 +296,9 @@
         request = self._request(path, given, head, body)
         if isinstance(request, Wrong):
             self.stream.write(error(request.status, request.code, request.text, [], keep_alive, head.method))
+            # Guard: one that repeats at once what was turned away must not take the others' time.
+            self.pause_s = min(PAUSE_MOST_S, max(PAUSE_S, 2 * self.pause_s))
+            self.loop.sleep(task, self.loop.now + self.pause_s)
             return
         result = Result(self.front, self.stream, keep_alive)
         self.serving = True
--- a/lilacfront/membership/etcd.py
+++ b/lilacfront/membership/etcd.py
@@ -169,9 +169,10 @@
         stream = self._call(task, endpoint, b"/v3/watch", create)
         if stream is None:
             return
-        parser, rest = http1.Parser(responses=True), b""
+        parser, rest, until = http1.Parser(responses=True), b"", self.loop.now + SILENT_S
         try:
-            while isinstance(got := stream.read(task, self.loop.now + SILENT_S), bytes):
+            # Guard: only a whole line shows that the watch is alive, not bytes that drip.
+            while isinstance(got := stream.read(task, until), bytes):
                 for part in parser.feed(got) if got else [http1.End()]:
                     if isinstance(part, http1.Head) and part.status != 200:
                         raise http1.HttpError(part.status, f"watch answered with status {part.status}")
@@ -180,6 +181,7 @@
                     if isinstance(part, http1.Body):
                         *lines, rest = (rest + part.data).split(b"\n")
                         for line in filter(None, (one.strip() for one in lines)):
+                            until = self.loop.now + SILENT_S
                             if not self._changed(_WATCH.decode(line)):
                                 return
         finally:
--- a/lilacfront/protocols/http1.py
+++ b/lilacfront/protocols/http1.py
@@ -105,6 +105,11 @@
         """Between two messages, with nothing of the next."""
         return self._step == self._head and not self._buffer
 
+    @property
+    def held(self) -> int:
+        """Bytes that came and belong to no part yet."""
+        return len(self._buffer)
+
     def feed(self, data: bytes) -> list[Part]:
         self._buffer += data
         while self._step():
