--- a/lilacfront/core/facade.py
+++ b/lilacfront/core/facade.py
@@ -29,7 +29,7 @@
     Served,
     Withdrawn,
 )
-from lilacfront.rules import Gateway
+from lilacfront.rules import DEADLINES, Gateway
 from lilacfront.sched import Interrupted, Loop, Task
 
 log = logging.getLogger(__name__)
@@ -210,6 +210,11 @@
             self.report(ticket, Outcome(Ending.GIVEN_UP, Reach.WRITTEN))
         self._tickets.pop(ticket.number, None)
 
+    def end_all(self) -> None:
+        """There is no more time: have the decisions end every request as if its own time were up."""
+        for number in list(self._tickets):
+            self._handle(i.Timer(DEADLINES + number))
+
     # ---- timers -------------------------------------------------------------------------------------
     def tick(self) -> float:
         """Run the timers that are due; returns when the next one is."""
--- a/lilacfront/rules.py
+++ b/lilacfront/rules.py
@@ -82,6 +82,7 @@
         self.aim = self.wait_until = self.least = 0  # least: time out before it may be drawn anew
         self.done, self.density = False, 0.0  # density: worth for thread time
         self.redrawn = False  # taken back once for being overdue
+        self.forgiven = False  # what it failed on first is no longer blamed for it
 
     def out(self) -> Attempt | None:
         return next((a for a in reversed(self.attempts) if a.result is None), None)
@@ -615,12 +616,13 @@
             # one, nor is each of the many that end with one connection, nor what fails on every engine.
             if result is i.Result.RESET and self.now < engine.broke_at + STEP_US:
                 pass
-            elif result is i.Result.ERROR and (blamed := self.failed_elsewhere(job, attempt)):
-                for other in blamed:
-                    other.errors = max(0.0, other.errors - ERROR_STEP)
-                    if other.aside_until and other.errors <= ERROR_SHARE:
-                        other.aside_until = other.aside_for = 0
-                        self.ill.discard(other.entry.engine)
+            elif (blamed := self.failed_elsewhere(job, attempt)) and result is not i.Result.TURNED_AWAY:
+                if not job.forgiven:
+                    blamed.errors = max(0.0, blamed.errors - ERROR_STEP)
+                    if blamed.errors <= ERROR_SHARE:
+                        blamed.aside_until = blamed.aside_for = 0
+                        self.ill.discard(blamed.entry.engine)
+                job.forgiven = True
             else:
                 engine.errors += ERROR_STEP * (1.0 - engine.errors)
                 others = [e.errors for e in self.here if e is not engine]
@@ -639,11 +641,11 @@
             engine.learn(ratio, spec.threads, average, self.floor)
             self.pool.learn(ratio, spec.threads, 1.0, self.pool_floor, self.floor)
 
-    def failed_elsewhere(self, job: Job, attempt: Attempt) -> list[Engine]:
-        """The other engines that answered this request with an error: it is the request's own."""
-        errors = [a for a in job.attempts if a is not attempt and a.result is i.Result.ERROR]
-        return list(
-            {a.engine.entry.engine: a.engine for a in errors if a.engine is not attempt.engine}.values()
+    def failed_elsewhere(self, job: Job, attempt: Attempt) -> Engine | None:
+        """The first other engine on which this request failed: the failure is the request's own, then."""
+        bad = (i.Result.ERROR, i.Result.RESET)
+        return next(
+            (a.engine for a in job.attempts if a.result in bad and a.engine is not attempt.engine), None
         )
 
     def report(self, engine: Engine, load: float) -> None:
@@ -664,8 +666,7 @@
 
     def again(self, job: Job) -> None:
         """After an attempt that failed: wait for another engine while it can pay, else end the request."""
-        last = job.attempts[-1]
-        hopeless = last.result is i.Result.ERROR and len(self.failed_elsewhere(job, last)) + 1 >= ERRORS_MOST
+        hopeless = len({a.engine for a in job.attempts if a.result is i.Result.ERROR}) >= ERRORS_MOST
         if hopeless or not any(self.may_send(job, e) for e in self.here):
             self.end(job)
             return
--- a/lilacfront/sched/stream.py
+++ b/lilacfront/sched/stream.py
@@ -52,7 +52,7 @@
         self._reader: Task | None = None
         self._connector: Task | None = None
         self._writer: tuple[Task, int] | None = None  # waits until no more than so many bytes are queued
-        self._readable = self._writing = False
+        self._drained = self._writing = False
         self._progress_at = loop.now
         self._mask = 0
 
@@ -98,8 +98,11 @@
         if self._connector is not None:
             self._connector.wake(True)
             return
-        if what & (select.POLLIN | select.POLLHUP | select.POLLERR) and self._reader is not None:
-            self._reader.wake(True)
+        if what & (select.POLLIN | select.POLLHUP | select.POLLERR):
+            if self._reader is not None:
+                self._reader.wake(True)
+            else:
+                self._watch()
         if what & (select.POLLOUT | select.POLLHUP | select.POLLERR) and self._writing:
             self.flush()
 
@@ -107,17 +110,23 @@
     def read(self, task: Task, until: float) -> bytes | Wait:
         """What has come, as soon as anything has; b'' once the connection has ended."""
         while not self.closed:
-            try:
-                return self.sock.recv(READ_SIZE)
-            except BlockingIOError:
-                pass
-            except OSError:
-                return b""
+            # After a short read nothing more has come, most likely: poll tells of it without another call.
+            if not self._drained or until <= self.loop.now:
+                try:
+                    data = self.sock.recv(READ_SIZE)
+                    self._drained = 0 < len(data) < READ_SIZE
+                    return data
+                except BlockingIOError:
+                    pass
+                except OSError:
+                    return b""
+            self._drained = False
             self._reader = task
-            self._watch()
+            if not self._mask & select.POLLIN:
+                self._watch()
             ended = self.loop.wait(task, until)
+            # The watch stays: most readers come back at once. `_polled` ends it for one that does not.
             self._reader = None
-            self._watch()
             if isinstance(ended, Wait):
                 return ended
         return b""
--- a/lilacfront/server.py
+++ b/lilacfront/server.py
@@ -24,6 +24,9 @@
 
 log = logging.getLogger(__name__)
 LEAVE_S = 0.8  # after SIGTERM new connections and requests still come; later than this none does
+# SIGKILL comes no sooner than this and the longest deadline, of which so much counts, after SIGTERM; what is
+# still open so long before it is answered then.
+KILL_S, KILL_DEADLINE_MOST_S, KILL_MARGIN_S = 0.7, 3.0, 0.2
 
 
 class Server:
@@ -120,9 +123,14 @@
         self.loop.sleep(task, self.leaving_at)
         for listener in self.listeners:
             listener.close()
+        longest = max(one.deadline_us for one in self.config.settings.classes) / 1e6
+        until = self.leaving_at - LEAVE_S + KILL_S + min(longest, KILL_DEADLINE_MOST_S) - KILL_MARGIN_S
         # Guard: an answer counts once its client has it, and a client may read slowly; one that stops is cut.
         while self.facade.busy or self.loop.writing:
             self.loop.sleep(task, self.loop.now + 0.02)
+            if self.loop.now >= until:
+                # Guard: what SIGKILL would find open gets its answer while there still is one to give.
+                self.facade.end_all()
         self.loop.sleep(task, self.loop.now + 0.05)  # what was answered last leaves
         self.loop.stop()
 
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -280,3 +280,14 @@
     ended(gate, 2 * S, send, i.Result.RESET)
     gate.handle(3 * S, i.EngineList(i.ListScope.DELTA, ()))
     assert not gate.engines and not gate.heard
+
+
+def test_a_request_that_breaks_every_connection_is_not_held_against_the_engines():
+    gate = gateway(settings(), entries(3))
+    for n in range(6):
+        (send,) = sends(ask(gate, n * S, n))
+        first = gate.engines[send.engine]
+        (again,) = sends(ended(gate, n * S + 1000, send, i.Result.RESET))
+        assert again.engine != send.engine and first.errors > 0.1
+        ended(gate, n * S + 2000, again, i.Result.RESET, attempt=1)
+        assert first.errors == 0.0 and not gate.engines[again.engine].errors
