--- a/lilacfront/warehouses/resp.py
+++ b/lilacfront/warehouses/resp.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import logging
+import math
 import re
 from dataclasses import dataclass, field
 from enum import Enum
@@ -21,7 +22,8 @@
 PAGE_MOST = 6_000  # bytes of a page, which is the longest word of an answer
 RESULT_MOST = 48_000  # bytes of a whole result
 PAGES_MOST = 64
-PAGE_S = 1.0  # a page that takes longer is lost: its warehouse has gone silent
+PAGE_S = 1.0  # without a page for so long its warehouse has gone silent
+PAGE_AGAIN_S = 0.1  # pages come at once; one that takes longer was lost and is asked for again; doubles then
 WHOLE_S = 0.5  # an answer that has begun comes whole within this
 CONNECTIONS_MOST = 6  # to one warehouse; below that each attempt has a connection of its own
 IDLE_SHARE = 0.8  # of the time after which warehouses close idle connections: closing first avoids the race
@@ -332,15 +334,22 @@
         self.connection, self.call = connection, call
         self.entry = connection.begin(call, command)
         self.report: LoadReport | None = None
+        self.page_until = self.again_at = math.inf  # once the number of pages is known
+        self.again_s = PAGE_AGAIN_S
 
     def run(self, task: Task, until: float, sink: Sink, watch: Watch) -> Outcome:
         watch.on_priority(self._bump)
         outcome: Outcome | None = None
         try:
             while outcome is None:
-                limit = min(until, self.connection.loop.now + PAGE_S) if self.entry.wanted else until
-                got = self.entry.inbox.get(task, limit)
-                outcome = self._ended(got) if isinstance(got, Wait | Broken) else self._take(got, sink, watch)
+                got = self.entry.inbox.get(task, min(until, self.page_until, self.again_at))
+                if isinstance(got, Reply):
+                    outcome = self._take(got, sink, watch)
+                elif got is Wait.TIMED_OUT and self.connection.loop.now < min(until, self.page_until):
+                    # Guard: one page that goes missing must not cost a result that has been worked for.
+                    self._ask_pages()
+                else:
+                    outcome = self._ended(got)
         finally:
             self.connection.end(self.call, self._last_words(outcome))
         return outcome
@@ -390,11 +399,21 @@
 
     def _page(self, first: bool, sink: Sink) -> Outcome | None:
         pages, wanted = self.entry.pages, self.entry.wanted
-        if first and wanted > 1 and self.connection.stream is not None:
-            asks = (resp.encode(b"page", self.call, b"%d" % n) for n in range(1, wanted))
-            self.connection.stream.write(b"".join(asks))
         if len(pages) < wanted:
+            self.page_until = self.connection.loop.now + PAGE_S
+            if first:
+                self._ask_pages()
             return None
         if not sink.part(b"".join(pages[n] for n in range(wanted))):
             return self._error(b"the answer can't be passed on")
         return Outcome(Ending.SERVED, Reach.ANSWERING, self.report)
+
+    def _ask_pages(self) -> None:
+        """Ask for the pages that have not come."""
+        missing = (n for n in range(1, self.entry.wanted) if n not in self.entry.pages)
+        if self.connection.stream is not None:
+            self.connection.stream.write(
+                b"".join(resp.encode(b"page", self.call, b"%d" % n) for n in missing)
+            )
+        self.again_at = self.connection.loop.now + self.again_s
+        self.again_s *= 2
