Free pages go back to the system every 5 s; HTTP results without an end of their own are not taken

Checked: a probe of 4,000 connections in one process found no object that piles up (gc counts, tracemalloc), while the process grew by 3.5 MB in 12,000; malloc_trim gave all of it back. So it is free memory scattered between the stacks of waiting tasks, not a list that is kept. Ruled out: timers (200 to 500 in the heap), the module's and the roster's tables.

From reading: an HTTP answer that only the end of its connection ends was passed on as whole, even if cut off; it is now broken. A ping counts as asking, so a checker's connection is not the first to make room.

--- a/lilacfront/fronts/platform.py
+++ b/lilacfront/fronts/platform.py
@@ -168,6 +168,7 @@
                 self._exception(name, seqid, thrift.PROTOCOL_ERROR, "not a call")
             case b"ping":
                 self.stream.write(thrift.answer(name, seqid, b"", self.front.healthy()))
+                self._eased()
             case b"invoke":
                 self._invoke(message)
             case _:
--- a/lilacfront/protocols/http1.py
+++ b/lilacfront/protocols/http1.py
@@ -105,6 +105,11 @@
         """Between two messages, with nothing of the next."""
         return self._step == self._head and not self._buffer
 
+    @property
+    def unframed(self) -> bool:
+        """Within a body that only the end of the connection ends."""
+        return self._step == self._until_close
+
     @property
     def held(self) -> int:
         """Bytes that came and belong to no part yet."""
--- a/lilacfront/server.py
+++ b/lilacfront/server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import ctypes
 import gc
 import logging
 import math
@@ -23,12 +24,23 @@
 from lilacfront.warehouses.resp import RespWarehouses
 
 log = logging.getLogger(__name__)
+TIDY_S = 5.0  # between two times that free pages go back to the system; that takes half a millisecond
 LEAVE_S = 0.8  # after SIGTERM new connections and requests still come; later than this none does
 # SIGKILL comes no sooner than this and the longest deadline, of which so much counts, after SIGTERM; what is
 # still open so long before it is answered then.
 KILL_S, KILL_DEADLINE_MOST_S, KILL_MARGIN_S = 0.7, 3.0, 0.2
 
 
+def give_back_free_pages() -> None:
+    """Have the C library return what it holds free.
+
+    Guard: the saved stacks of waiting tasks, of many sizes, come and go with connections, so free memory
+    lies scattered between what is in use. Over a long day that grew by megabytes, which nothing refers to.
+    """
+    if (trim := getattr(ctypes.CDLL(None), "malloc_trim", None)) is not None:
+        trim(0)
+
+
 class Server:
     """One front end."""
 
@@ -79,6 +91,7 @@
             )
             self.listeners.append(clickhouse.listen(http.listen, most))
         self.loop.spawn(self.facade.run_timers)
+        self.loop.spawn(self._tidy)
         self.changelog: ChangeLog | None = None
         if config.gateway.etcd:
             watch = EtcdWatch(self.loop, config.gateway.etcd, config.gateway.prefix, self.heard)
@@ -94,6 +107,11 @@
         news, addresses = self.roster.news(fleet)
         self.facade.fleet(news, addresses)
 
+    def _tidy(self, task: Task) -> None:
+        while True:
+            self.loop.sleep(task, self.loop.now + TIDY_S)
+            give_back_free_pages()
+
     def reload(self) -> None:
         """Read the configuration again. The change log may have moved; all else holds until a restart."""
         if self._read_again is None:
--- a/lilacfront/warehouses/clickhouse.py
+++ b/lilacfront/warehouses/clickhouse.py
@@ -156,6 +156,9 @@
                 return Outcome(Ending.BROKEN, max(self._reach(), Reach.WRITTEN), None, str(problem).encode())
             if not got and not parts:
                 return Outcome(Ending.BROKEN, self._reach())
+            if self.parser.unframed or not got:
+                # Guard: where only the end of the connection ends a result, one that was cut off looks whole.
+                return Outcome(Ending.BROKEN, Reach.ANSWERING)
             for part in parts:
                 if (outcome := self._take(part, task, sink)) is not None:
                     return outcome
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -17,6 +17,7 @@
 from play import GATEWAY, SETTINGS, Clock, Stage, ThriftResp
 
 from lilacfront import config as configuration
+from lilacfront import server
 from lilacfront.cli import Sparing, main
 from lilacfront.core.facade import result_of
 from lilacfront.core.model import Chosen, Ending, Engine, Outcome, Reach, Request
@@ -293,3 +294,16 @@
         assert not stage.server.roster.addresses and not facade._open and not facade._gateway.engines
     finally:
         stage.close()
+
+
+def test_free_pages_go_back_to_the_system_every_few_seconds(monkeypatch: pytest.MonkeyPatch) -> None:
+    calls: list[float] = []
+    stage = Stage(ThriftResp(), engines=0)
+    monkeypatch.setattr(server, "give_back_free_pages", lambda: calls.append(stage.clock.now))
+    try:
+        stage.wait(11)
+        assert len(calls) == 2
+    finally:
+        stage.close()
+    monkeypatch.undo()
+    server.give_back_free_pages()  # works wherever the tests run, whatever the C library
