Answers that are not read share a bound; a closing connection reads on no more than 1 MB

Stream.finish read for its whole time from a peer that never stops sending; now 1 MB at most. A connection that can't be read on closed with input unread, which may reset it and destroy its last answers; now it finishes for 0.2 s, and requests in hand get 0.7 s where they had 1.5 s, so that the client is done within 3 s in all cases.

--- a/lilacfront/fronts/platform.py
+++ b/lilacfront/fronts/platform.py
@@ -22,7 +22,7 @@
 WHOLE_S = 2.0  # any message comes whole within this of its first byte
 IDLE_S = 15.0  # a connection without an open request is closed after this; clients do so much earlier
 PAUSE_S, PAUSE_MOST_S = 0.1, 0.8  # after a message that can't be served no more is read; doubles each time
-PART_S = 1.5  # for requests in hand on a connection of which no more can be read
+PART_S, FINISH_S = 0.7, 0.2  # for requests in hand on a connection that can't be read on; for their answers
 PART_OF_MEMORY = 16  # this part of it may be taken by all messages together that have not come whole
 CALL = re.compile(rb"[0-9A-Fa-f]{16}")
 TTL_SLACK = 1.5  # times the class's own time that a client may wait
@@ -143,13 +143,15 @@
         """
         self.front.hold(self, 0)
         self.loop.sleep(task, self.loop.now + PAUSE_S)
-        until = self.loop.now + PART_S
+        until, owed = self.loop.now + PART_S, bool(self.open)
         while self.open and not self.stream.closed and self.loop.now < until:
             self.loop.sleep(task, self.loop.now + PAUSE_S)
         for seqid in list(self.open):
             self._withdraw(seqid)
             self.stream.write(thrift.fault(seqid, {}))
-        self.stream.flush()
+        if owed:
+            # Guard: closing while more still comes would reset the connection and destroy these answers.
+            self.stream.finish(task, self.loop.now + FINISH_S)
 
     def _message(self, frame: bytes) -> None:
         try:
--- a/lilacfront/sched/loop.py
+++ b/lilacfront/sched/loop.py
@@ -16,7 +16,7 @@
 from collections.abc import Callable
 from enum import Enum
 from itertools import count
-from typing import Any, Final
+from typing import Any, Final, Protocol
 
 import greenlet
 
@@ -70,6 +70,14 @@
         self._glet.switch(value)
 
 
+class Writer(Protocol):
+    """A stream with bytes that its peer has not taken."""
+
+    queued: int
+
+    def close(self) -> None: ...
+
+
 class Loop:
     """Runs tasks until `stop`. One loop a process; all of its methods belong to its own thread."""
 
@@ -80,7 +88,8 @@
         self.now = self._clock()
         self.ready: deque[tuple[Task, object]] = deque()
         self.dirty: dict[Callable[[], None], None] = {}  # flushes due at the end of this turn, in order
-        self.writing: set[object] = set()  # streams whose bytes the kernel has not all taken yet
+        self.writing: set[Writer] = set()  # streams whose bytes the kernel has not all taken yet
+        self.queued, self.queued_most = 0, 32 << 20  # bytes on their way out, of all streams together
         self._poll = select.poll()
         self._watched: dict[int, Callable[[int], None]] = {}
         self._timers: list[tuple[float, int]] = []
@@ -147,6 +156,13 @@
         if self._watched.pop(fd, None) is not None:
             self._poll.unregister(fd)
 
+    def queue(self, size: int) -> None:
+        """Account for bytes on their way out; below 0: they have left."""
+        self.queued += size
+        if size > 0 and self.queued > self.queued_most and self.writing:
+            # Guard: many peers that do not read, each within its own bound, must not fill the memory.
+            max(self.writing, key=lambda one: one.queued).close()
+
     # ---- the loop ---------------------------------------------------------------------------------
     def stop(self) -> None:
         self.stopping = True
--- a/lilacfront/sched/stream.py
+++ b/lilacfront/sched/stream.py
@@ -17,6 +17,7 @@
 
 READ_SIZE = 65536
 STALL_S = 5.0  # a peer that takes nothing for so long is cut off
+DRAIN_MOST = 1 << 20  # bytes read and dropped while a closing peer has not stopped sending
 GATHER = 64  # chunks that go into one system call
 
 
@@ -159,6 +160,7 @@
             self._progress_at = self.loop.now
         self._out.append(chunk)
         self.queued += len(data)
+        self.loop.queue(len(data))
         if self.queued > self.most_queued:
             # Guard: a peer that does not read must not fill this program's memory.
             self.close()
@@ -184,15 +186,15 @@
         if self.room(task, until, 0):
             with contextlib.suppress(OSError):
                 self.sock.shutdown(socket.SHUT_WR)
-            while isinstance(got := self.read(task, until), bytes) and got:
-                pass
+            left = DRAIN_MOST
+            while left > 0 and isinstance(got := self.read(task, until), bytes) and got:
+                left -= len(got)
         self.close()
 
     def flush(self) -> None:
         """Hand the kernel what it takes now."""
         while self._out and not self.closed:
-            while self._out and (self._out[0].withdrawn or self._out[0].whole):
-                self.queued -= len(self._out.popleft().data)
+            self._let_go()
             batch = [c for c in list(self._out)[:GATHER] if not c.withdrawn]
             if not batch:
                 if self._out:
@@ -211,8 +213,7 @@
                 part = min(sent, len(chunk.data) - chunk.sent)
                 chunk.sent += part
                 sent -= part
-        while self._out and (self._out[0].withdrawn or self._out[0].whole):
-            self.queued -= len(self._out.popleft().data)
+        self._let_go()
         if self.closed:
             return
         if self._writer is not None and self.queued <= self._writer[1]:
@@ -224,6 +225,13 @@
             if self._writing:
                 self._check_stall()
 
+    def _let_go(self) -> None:
+        """Of what has left, or was taken back."""
+        while self._out and (self._out[0].withdrawn or self._out[0].whole):
+            size = len(self._out.popleft().data)
+            self.queued -= size
+            self.loop.queue(-size)
+
     def _check_stall(self) -> None:
         if self.closed or not self._writing:
             return
@@ -241,6 +249,8 @@
             self.loop.unwatch(self.sock.fileno())
         self.closed = True
         self.loop.writing.discard(self)
+        self.loop.queue(-self.queued)
+        self.queued = 0
         self.sock.close()
         if self._reader is not None:
             self._reader.wake(True)
--- a/lilacfront/server.py
+++ b/lilacfront/server.py
@@ -50,6 +50,7 @@
         self.config, self.loop, self.leaving_at = config, loop or Loop(), math.inf
         self._read_again = read_again
         settings = config.settings
+        self.loop.queued_most = config.memory // 8
         self.facade = Facade(self.loop, settings, config.seed)
         self.roster = Roster(config.zones, config.kinds)
         share = max(1, config.sockets // 3)
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -1,5 +1,6 @@
 """The scheduler, the configuration and the command line, each alone."""
 
+import contextlib
 import json
 import logging
 import os
@@ -307,3 +308,28 @@
         stage.close()
     monkeypatch.undo()
     server.give_back_free_pages()  # works wherever the tests run, whatever the C library
+
+
+def test_peers_that_do_not_read_hold_no_more_than_their_part_together(loop: Loop) -> None:
+    ends = [pair(loop, 8 << 20) for _ in range(3)]
+    loop.queued_most = 6 << 20
+    for n, (stream, _) in enumerate(ends):
+        stream.write(bytes((4 << 20) - (n << 10)))
+        loop.turn(0)
+    kept = [stream for stream, _ in ends if not stream.closed]
+    assert len(kept) == 1 and loop.queued == kept[0].queued <= loop.queued_most
+    kept[0].close()
+    assert loop.queued == 0
+
+
+def test_a_connection_that_closes_does_not_read_on_for_ever(loop: Loop) -> None:
+    stream, peer = pair(loop, 1000)
+    peer.setblocking(False)
+    task = loop.spawn(lambda task: stream.finish(task, loop.now + 1))
+    sent = 0
+    while not stream.closed:
+        with contextlib.suppress(BlockingIOError):
+            sent += peer.send(bytes(65536))
+        loop.turn(0)
+        assert sent < 16 << 20, "still reading"
+    assert task is not None
