--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -314,6 +314,7 @@
     ends = [pair(loop, 8 << 20) for _ in range(3)]
     loop.queued_most = 6 << 20
     for n, (stream, _) in enumerate(ends):
+        stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)  # whatever the system's default is
         stream.write(bytes((4 << 20) - (n << 10)))
         loop.turn(0)
     kept = [stream for stream, _ in ends if not stream.closed]
