Full engines get no more, cold ones count as warm as they are, one error rests an engine

Causes, in rules.py: pick compared reported queries a core with a bound in threads a core, and took the mean of full engines as the measure of full (most_load). on_list counted cold cores whole. cold_room gave each class a third of a turn, and counted crowded time as work, so turns lapsed. Three errors in a row were needed to rest an engine, and a request failing on two sick ones cleared the first. Past half of the engines resting, all rest was off. The pooled bound ran into a debt of up to nine largest queries while it fell under what ran already, paid back over 20 s.

--- a/lilacfront/core/facade.py
+++ b/lilacfront/core/facade.py
@@ -130,6 +130,7 @@
         for number in shut:
             self._open.pop(number, None)
             self._cores.pop(number, None)
+        log.debug("list", at=self.loop.now, news=news.entries)
         self._handle(news)
         for number, gone in shut.items():
             self.on_shut(number, gone)
@@ -145,6 +146,7 @@
         """Hand a request to the decisions; `pick` tells what they say."""
         ticket = Ticket(self, next(self._numbers), request, task)
         self._tickets[ticket.number] = ticket
+        log.debug("request", request=ticket.number, cls=request.cls, at=self.loop.now, until=request.deadline)
         if self.teams is None:
             self._offer(ticket)
             return ticket
@@ -211,6 +213,7 @@
         if isinstance(choice, Chosen):
             ticket.sent, ticket.out, ticket.out_since = choice, True, self.loop.now
         else:
+            log.debug("answer", request=ticket.number, cls=ticket.request.cls, at=self.loop.now, final=choice)
             self._forget(ticket)
         return choice
 
@@ -235,6 +238,19 @@
         if not ended and (served or begun):
             ticket.choice = Served() if served else Failed(detail=ticket.detail)
         number, engine = ticket.sent.attempt, ticket.sent.engine.number
+        log.debug(
+            "attempt",
+            request=ticket.number,
+            number=number,
+            cls=ticket.request.cls,
+            group=ticket.request.table_group,
+            engine=ticket.sent.engine.address,
+            began=ticket.out_since,
+            ended=self.loop.now,
+            ending=outcome.ending.value,
+            reach=int(outcome.reach),
+            report=outcome.report,
+        )
         self._handle(
             i.Outcome(
                 ticket.number,
--- a/lilacfront/logs.py
+++ b/lilacfront/logs.py
@@ -31,6 +31,9 @@
         if self._logger.isEnabledFor(level):
             self._logger.log(level, event, extra={"fields": fields}, exc_info=failed)
 
+    def debug(self, event: str, **fields: object) -> None:
+        self._log(logging.DEBUG, event, fields)
+
     def info(self, event: str, **fields: object) -> None:
         self._log(logging.INFO, event, fields)
 
--- a/lilacfront/rules.py
+++ b/lilacfront/rules.py
@@ -8,6 +8,7 @@
 import math
 from bisect import insort
 from collections import deque
+from collections.abc import Iterator
 from itertools import chain, islice
 
 from lilacfront import interface as i
@@ -27,7 +28,7 @@
 WAIT_MOST = 3  # requests waiting for each core in the list: more could not start while waiting still pays
 NEAR = 0.5  # of the mean load: so much fuller may the engine in this gateway's own zone be
 POOL_SPILL = 1.25  # SPILL where bounds are pooled: a report that fades shows but a part of what is too much
-POOL_LEAST = 1.4  # threads a core, over all gateways, of the least pooled bound: fewer leave cores idle
+POOL_LEAST = 2.2  # threads a core, over all gateways, of the least pooled bound: fewer leave cores idle
 CREDIT = 1.0  # largest usual queries whose thread time an unused pooled bound saves up: one may then start
 HALF_US = 10_000_000  # in which old requests lose half their say in how wide a table group spreads
 AHEAD = 8.0  # largest usual queries by which the densest may overdraw a pooled bound, at the cost of others
@@ -41,10 +42,12 @@
 NOTED, NOTED_AFTER = 0.02, 0.5  # share done, and likely times out, from which notes tell when one will end
 MISSED = 6.0  # answers due and not come: by chance that many go missing about once in 400 silences
 ERROR_SHARE = 0.3  # smoothed share of errors from which an engine is set aside
-ERROR_STEP = 0.2  # weight of one answer in that share: three errors in a row set an engine aside
+ERROR_STEP = 0.2  # least weight of one answer in that share: three errors in a row set an engine aside
+ERROR_ONE = 0.5  # most: where an engine answers this gateway seldom, one error sets it aside
+ERROR_SPAN_US = 5_000_000  # one answer weighs as a part of all that come from its engine in so long
 ERRORS_MOST = 3  # engines that answer a request with an error: it is the request's own, and is tried no more
 ASIDE_US, ASIDE_MOST_US = 500_000, 4_000_000  # first and longest rest before a trial; doubles in between
-ASIDE_PART = 0.5  # of the engines at most are set aside: beyond that the trouble is not the engines'
+ASIDE_PART = 0.75  # of the engines set aside: beyond it the trouble is hardly theirs
 COLD_MARGIN = 0.5  # of this gateway's part of a cold engine's budget is used: costs are guesses
 BUSY_SHARE = 0.85  # capacity is counted at cores this busy (rule 4)
 TAKE_BACKS = 0.01  # for each request taken: enough to see whether drawing anew pays here
@@ -165,9 +168,10 @@
         self.here: list[Engine] = []  # present: listed, and not draining or gone
         self.cold: list[Engine] = []  # of those, not warm yet
         self.ill: set[int] = set()  # of those, set aside
-        self.cores = 0.0  # of those present
+        self.cores, self.resized = 0.0, 0  # of those present; when they were counted
         self.pool, self.pooled = Bound(0.0, 1.0), False
         self.credit, self.credit_at, self.usual = math.inf, 0, 0.0  # thread time; of the largest query
+        self.each = 1.0  # threads of a query in hand, by the time that each class takes
         self.drawn: dict[int, tuple[float, int]] = {}  # table group -> requests of late, and when counted
         self.asked, self.asked_at, self.most_load = 0.0, 0, 0.0
         self.level, self.heard = 0.0, 0  # mean load a core of the engines heard, and how many those are
@@ -248,15 +252,29 @@
         self.here = [e for e in self.engines.values() if not e.leaving]
         self.cold = [e for e in self.here if self.is_cold(e.entry)]
         self.ill = {e.entry.engine for e in self.here if e.aside_until}
-        cores = sum(e.cores for e in self.here)
-        opening = OPEN * cores / self.settings.instances
+        opening = OPEN * sum(e.cores for e in self.here) / self.settings.instances
         self.pooled = opening < self.floor * len(self.here)
-        self.pool.bound = self.pool.bound * cores / self.cores if self.cores and cores else opening
-        self.cores = cores
-        self.pool_floor = POOL_LEAST * cores / self.settings.instances
+        self.resize()
         self.orders.clear()
         self.dispatch(len(self.waiting))
 
+    def resize(self) -> None:
+        """Scale the pooled bound by the cores present; many gateways count a cold one as warm as it is.
+
+        Guard: counted whole, many cold ones at once let in what they can't yet take, and the warm get it.
+        """
+        cores = sum(e.cores * (self.warmth(e) if self.pooled else 1.0) for e in self.here)
+        opening = OPEN * cores / self.settings.instances
+        self.pool.bound = self.pool.bound * cores / self.cores if self.cores and cores else opening
+        self.cores, self.resized = cores, self.now
+        self.pool_floor = POOL_LEAST * cores / self.settings.instances
+
+    def warmth(self, engine: Engine) -> float:
+        """What part of its capacity an engine has: the unseen curve is taken as slow at first (a square)."""
+        rules, started = self.settings.rules, engine.entry.started_us
+        age = min(1.0, max(0.0, (self.now - started) / max(1, rules.warm_after_us))) if started else 1.0
+        return rules.cold_share + (1.0 - rules.cold_share) * age * age
+
     def is_cold(self, entry: i.EngineEntry) -> bool:
         return entry.started_us > 0 and self.now < entry.started_us + self.settings.rules.warm_after_us
 
@@ -355,7 +373,7 @@
             mean, spill = mean + self.level, POOL_SPILL
             if not self.pool_room(job):
                 return None
-            self.most_load = max(spill * mean, self.pool.bound * self.settings.instances / self.cores)
+            self.most_load = spill * self.pool.bound * self.settings.instances / self.cores / self.each
         order = self.orders.get(job.req.table_group)
         if order is None:
             group = job.req.table_group
@@ -367,8 +385,10 @@
         start = self.start(job.req.table_group, len(order)) if self.pooled else 0
         places = chain(range(start, len(order)), range(start))
         walk = chain(self.cold if self.pooled else (), (order[-1 - n] if far else order[n] for n in places))
-        aside = len(self.ill) <= ASIDE_PART * len(order)
-        room = (e for e in walk if self.has_room(e, job, aside) and self.may_send(job, e))
+        room: Iterator[Engine] = (e for e in walk if self.has_room(e, job, True) and self.may_send(job, e))
+        if len(self.ill) > ASIDE_PART * len(order):  # then what rests comes last, but comes
+            rests = (e for e in order if e.aside_until and self.has_room(e, job, False))
+            room = chain(room, (e for e in rests if self.may_send(job, e)))
         if job.attempts:  # what has failed, or taken too long, on one engine is tried on another first
             tried = [a.engine for a in job.attempts]
             room = (e for e in sorted(room, key=tried.count))
@@ -439,8 +459,10 @@
     def settle(self) -> None:
         """Save up what the pooled bound left unused since the last time, or note what was used beyond it."""
         self.usual = max(k.spec.threads * k.time for k in self.kinds)
+        held = [(k.heard * k.time, k.spec.threads) for k in self.kinds]
+        self.each = sum(h * n for h, n in held) / sum(h for h, _ in held) if any(h for h, _ in held) else 1.0
         free = (self.pool.bound - self.pool.used) * (self.now - self.credit_at)
-        self.credit = max(-(CREDIT + AHEAD) * self.usual, min(CREDIT * self.usual, self.credit + free))
+        self.credit = max(-CREDIT * self.usual, min(CREDIT * self.usual, self.credit + free))
         self.credit_at = self.now
 
     def has_room(self, engine: Engine, job: Job, aside: bool) -> bool:
@@ -458,7 +480,9 @@
         if engine.used + job.spec.threads > engine.bound:
             engine.full = True
             return False
-        return not self.pooled or self.load(engine) <= self.most_load
+        # Guard: reports count queries, the bound threads. Taken for one another, full engines went on
+        # being sent to while others stood idle. What a cold engine may get its turns say.
+        return not self.pooled or engine in self.cold or self.load(engine) <= self.most_load
 
     # ---- the life of an attempt ---------------------------------------------------------------------
     def may_send(self, job: Job, engine: Engine) -> bool:
@@ -505,22 +529,27 @@
     def cold_room(self, engine: Engine, kind: Kind) -> bool:
         """Rule 4: this gateway's part of what a cold engine may be sent within the window it falls over in.
 
-        The unseen warming curve is taken as slow at first (a square); work is the class's usual work.
-        Departure (many gateways): a part under one query goes as whole ones to as many gateways as it makes,
-        a class's even share of it each, by turns of the gateways' numbers that need no talk.
+        Work is the class's usual work.
+        Departure (many gateways): a part under one query goes whole to as many gateways as it makes, by turns
+        of their numbers that need no talk; whoever has the turn spends it on queries of any class.
         """
         rules = self.settings.rules
         if rules.overload_factor is None:
             return True
-        age = min(1.0, max(0.0, (self.now - engine.entry.started_us) / max(1, rules.warm_after_us)))
-        able = (rules.cold_share + (1.0 - rules.cold_share) * age * age) * BUSY_SHARE * engine.cores
+        able = self.warmth(engine) * BUSY_SHARE * engine.cores
         most, span = COLD_MARGIN * rules.overload_factor * able * rules.fall_us, rules.fall_us + ASIDE_US
         while engine.sent and engine.sent[0][0] < self.now - span:
             engine.sent.popleft()
-        if sum(work for _, work in engine.sent) + kind.work <= most / self.settings.instances:
-            return True
+        part = max(most / self.settings.instances, min(most, max(self.weight(k) for k in self.kinds)))
         turn = (self.settings.slot + mix(engine.entry.engine, self.now // span)) % self.settings.instances
-        return not engine.sent and (turn + 1) * kind.work * len(self.kinds) <= most
+        return (turn + 1) * part <= most and sum(work for _, work in engine.sent) + self.weight(kind) <= part
+
+    def weight(self, kind: Kind) -> float:
+        """A query's work as rule 4 counts it, its class's usual: uncrowded runs where pooled.
+
+        Crowded runs take far longer than their work, and would leave cold engines idle beside crowded ones.
+        """
+        return kind.alone * kind.spec.threads if self.pooled and kind.alone else kind.work
 
     def send(self, job: Job, engine: Engine) -> None:
         if job.attempts and self.settings.rules.budget_span_us is not None:
@@ -536,7 +565,7 @@
         if len(engine.attempts) == 1:
             engine.heard = self.now
         if self.is_cold(engine.entry):
-            engine.sent.append((self.now, self.kinds[job.req.cls].work))
+            engine.sent.append((self.now, self.weight(self.kinds[job.req.cls])))
         if self.settings.priorities:
             self.actions.append(i.SetTerms(job.req.request, 0.0, self.rank(job)))
         self.actions.append(i.Send(job.req.request, engine.entry.engine, job.deadline))
@@ -606,10 +635,10 @@
             if job.redrawn and took <= OVERDUE * likely:  # drawing anew paid
                 self.take_backs = min(TAKE_BACKS_SAVED, self.take_backs + 1.0)
             self.kinds[job.req.cls].learn(took, event.work_us)
-            engine.errors -= ERROR_STEP * engine.errors
-            if engine.errors <= ERROR_SHARE:
-                engine.aside_until = engine.aside_for = 0
-                self.ill.discard(engine.entry.engine)
+            self.clear(engine, engine.errors * self.error_step())
+            if job.forgiven:  # served here: what it failed on were the engines, not the request
+                for bad in {a.engine for a in job.attempts if a.result is i.Result.ERROR}:
+                    self.blame(bad, self.error_step())
         elif result in (i.Result.ERROR, i.Result.TURNED_AWAY, i.Result.RESET):
             # Guard: quick failures of any kind (errors, resets, no session) make an engine look idle and draw
             # ever more to it. It could hurt when all fail alike: what they have in common is not held against
@@ -617,17 +646,15 @@
             if result is i.Result.RESET and self.now < engine.broke_at + STEP_US:
                 pass
             elif (blamed := self.failed_elsewhere(job, attempt)) and result is not i.Result.TURNED_AWAY:
-                if not job.forgiven:
-                    blamed.errors = max(0.0, blamed.errors - ERROR_STEP)
-                    if blamed.errors <= ERROR_SHARE:
-                        blamed.aside_until = blamed.aside_for = 0
-                        self.ill.discard(blamed.entry.engine)
-                job.forgiven = True
+                step = ERROR_STEP if result is i.Result.RESET else self.error_step()
+                without = max(0.0, blamed.errors - step) / (1.0 - step)
+                if max(without, engine.errors) > ERROR_SHARE:
+                    self.blame(engine, step)  # others failed there, too: it met two that are sick
+                elif not job.forgiven:
+                    self.clear(blamed, blamed.errors - without)
+                    job.forgiven = True
             else:
-                engine.errors += ERROR_STEP * (1.0 - engine.errors)
-                others = [e.errors for e in self.here if e is not engine]
-                if engine.errors > ERROR_SHARE + (sum(others) / len(others) if others else 0.0):
-                    self.set_aside(engine)
+                self.blame(engine, self.error_step() if result is i.Result.ERROR else ERROR_STEP)
             engine.broke_at = self.now if result is i.Result.RESET else engine.broke_at
         elif result is i.Result.CONNECT_FAILED:
             self.set_aside(engine, max(ASIDE_US, self.round_us()))  # else over before its next query
@@ -641,6 +668,28 @@
             engine.learn(ratio, spec.threads, average, self.floor)
             self.pool.learn(ratio, spec.threads, 1.0, self.pool_floor, self.floor)
 
+    def error_step(self) -> float:
+        """Weight of one answer in its engine's share of errors: the fewer come, the more each must tell.
+
+        Guard: many gateways see one or two answers each of an engine that fails most of what it gets, at
+        once, and so looks idle to all. It could hurt where good engines fail by chance: they rest a while.
+        """
+        return max(ERROR_STEP, min(ERROR_ONE, self.round_us() / ERROR_SPAN_US))
+
+    def blame(self, engine: Engine, step: float) -> None:
+        """A failure that is the engine's own; where more fail than elsewhere it rests past its next query."""
+        engine.errors += step * (1.0 - engine.errors)
+        others = [e.errors for e in self.here if e is not engine]
+        if engine.errors > ERROR_SHARE + (sum(others) / len(others) if others else 0.0):
+            self.set_aside(engine, max(ASIDE_US, self.round_us()))
+
+    def clear(self, engine: Engine, by: float) -> None:
+        """Less is held against the engine; its rest is over once that is little."""
+        engine.errors = max(0.0, engine.errors - by)
+        if engine.errors <= ERROR_SHARE:
+            engine.aside_until = engine.aside_for = 0
+            self.ill.discard(engine.entry.engine)
+
     def failed_elsewhere(self, job: Job, attempt: Attempt) -> Engine | None:
         """The first other engine on which this request failed: the failure is the request's own, then."""
         bad = (i.Result.ERROR, i.Result.RESET)
@@ -723,7 +772,10 @@
 
     def on_timer(self, token: int) -> None:
         if token == STEP:
-            self.stepping, self.cold = False, [e for e in self.cold if self.is_cold(e.entry)]
+            self.stepping = False
+            if self.cold and self.now - self.resized >= ASIDE_US:
+                self.resize()
+                self.cold = [e for e in self.cold if self.is_cold(e.entry)]
             if self.now - self.step_at < 2 * STEP_US:
                 self.check_busy()
             else:
--- a/lilacfront/server.py
+++ b/lilacfront/server.py
@@ -180,6 +180,12 @@
         # In a task of its own, not within whatever the signal happens to interrupt.
         signal.signal(signal.SIGHUP, lambda *_: self.loop.spawn(lambda _: self.reload()))
         signal.set_wakeup_fd(self.loop.wake_out.fileno(), warn_on_full_buffer=False)
+        log.debug(
+            "settings",
+            settings=self.config.settings,
+            idle_s=self.config.idle_s,
+            connect_s=self.config.connect_s,
+        )
         gc.collect()
         gc.freeze()  # what the start made stays: later collections need not walk it
         for listener in self.listeners:
--- a/lilacfront/warehouses/resp.py
+++ b/lilacfront/warehouses/resp.py
@@ -154,10 +154,18 @@
         return len(self.open) + self.awaited
 
     def _run(self, task: Task, connect_s: float) -> None:
+        began = self.loop.now
         try:
             made = Stream.connect(
                 self.loop, task, self.engine.address, self.loop.now + connect_s, QUEUED_MOST
             )
+            log.debug(
+                "connection",
+                engine=self.engine.address,
+                began=began,
+                ended=self.loop.now,
+                up=isinstance(made, Stream),
+            )
             if isinstance(made, Stream):
                 self.stream = made
                 self.idle_since = self.loop.now
@@ -239,6 +247,7 @@
         if self.closed:
             return
         self.closed = True
+        log.debug("connection closed", engine=self.engine.address, at=self.loop.now, open=len(self.open))
         if self.stream is not None:
             self.stream.close()
         self.ready.set()
