A front end of many has one connection to a warehouse; the last room there is for dense queries

Causes: warehouses/resp.py CONNECTIONS_MOST gave each attempt a connection of its own, up to six a warehouse from each front end, however many there are; it now bounds those of all front ends together (6 each at three and fewer, 1 at forty). rules.py pick held all classes to one fullness, so the long took the room the short were refused for. Ruled out: heads of line, as answers of one connection come in any order.

--- a/lilacfront/rules.py
+++ b/lilacfront/rules.py
@@ -28,6 +28,7 @@
 WAIT_MOST = 3  # requests waiting for each core in the list: more could not start while waiting still pays
 NEAR = 0.5  # of the mean load: so much fuller may the engine in this gateway's own zone be
 POOL_SPILL = 1.25  # SPILL where bounds are pooled: a report that fades shows but a part of what is too much
+KEPT = 0.5  # part more to which the densest may fill an engine, and others by their share ahead
 POOL_LEAST = 2.2  # threads a core, over all gateways, of the least pooled bound: fewer leave cores idle
 CREDIT = 1.0  # largest usual queries whose thread time an unused pooled bound saves up: one may then start
 HALF_US = 10_000_000  # in which old requests lose half their say in how wide a table group spreads
@@ -261,8 +262,7 @@
     def resize(self) -> None:
         """Scale the pooled bound by the cores present; many gateways count a cold one as warm as it is.
 
-        Guard: counted whole, many cold ones at once let in what they can't yet take, and the warm get it.
-        """
+        Guard: counted whole, many cold ones let in what they can't yet take, and the warm get it."""
         cores = sum(e.cores * (self.warmth(e) if self.pooled else 1.0) for e in self.here)
         opening = OPEN * cores / self.settings.instances
         self.pool.bound = self.pool.bound * cores / self.cores if self.cores and cores else opening
@@ -373,6 +373,7 @@
             mean, spill = mean + self.level, POOL_SPILL
             if not self.pool_room(job):
                 return None
+            spill *= 1.0 + KEPT * self.ahead(job)  # the last room on an engine is kept for what is dense
             self.most_load = spill * self.pool.bound * self.settings.instances / self.cores / self.each
         order = self.orders.get(job.req.table_group)
         if order is None:
@@ -449,13 +450,16 @@
         would else refuse all that is short beside it.
         """
         self.settle()
-        ahead = sum(k.spec.worth / k.work < job.density for k in self.kinds) / len(self.kinds)
         beyond = (self.pool.used + job.spec.threads - self.pool.bound) * self.likely(job)
-        if beyond <= self.credit + AHEAD * ahead * self.usual:
+        if beyond <= self.credit + AHEAD * self.ahead(job) * self.usual:
             return True
         self.pool.full = True
         return False
 
+    def ahead(self, job: Job) -> float:
+        """The share of the classes whose worth for thread time is less than this query's."""
+        return sum(k.spec.worth / k.work < job.density for k in self.kinds) / len(self.kinds)
+
     def settle(self) -> None:
         """Save up what the pooled bound left unused since the last time, or note what was used beyond it."""
         self.usual = max(k.spec.threads * k.time for k in self.kinds)
@@ -545,10 +549,7 @@
         return (turn + 1) * part <= most and sum(work for _, work in engine.sent) + self.weight(kind) <= part
 
     def weight(self, kind: Kind) -> float:
-        """A query's work as rule 4 counts it, its class's usual: uncrowded runs where pooled.
-
-        Crowded runs take far longer than their work, and would leave cold engines idle beside crowded ones.
-        """
+        """A query's work as rule 4 counts it: an uncrowded run where pooled, as crowded ones overstate it."""
         return kind.alone * kind.spec.threads if self.pooled and kind.alone else kind.work
 
     def send(self, job: Job, engine: Engine) -> None:
--- a/lilacfront/server.py
+++ b/lilacfront/server.py
@@ -71,6 +71,7 @@
                 config.connect_s,
                 config.idle_s,
                 share,
+                settings.instances,
             )
         self.facade.on_shut = self.attempts.shut
         for event in config.known.results:
--- a/lilacfront/warehouses/resp.py
+++ b/lilacfront/warehouses/resp.py
@@ -25,7 +25,8 @@
 PAGE_S = 1.0  # without a page for so long its warehouse has gone silent
 PAGE_AGAIN_S = 0.1  # pages come at once; one that takes longer was lost and is asked for again; doubles then
 WHOLE_S = 0.5  # an answer that has begun comes whole within this
-CONNECTIONS_MOST = 6  # to one warehouse; below that each attempt has a connection of its own
+CONNECTIONS_MOST = 18  # to one warehouse from all front ends: so far each attempt has one of its own
+EACH_MOST = 6  # from one front end
 IDLE_SHARE = 0.8  # of the time after which warehouses close idle connections: closing first avoids the race
 LOOK_S = 0.05  # least time between two looks at whether a connection has been idle for long
 UNDONE_S = 30.0  # an answer to what was given up comes no later than this
@@ -266,10 +267,14 @@
         connect_s: float,
         idle_s: float,
         most_connections: int,
+        instances: int = 1,
     ) -> None:
         self.loop, self.class_names, self.streams = loop, class_names, streams
         self.connect_s, self.idle_s, self.most = connect_s, idle_s * IDLE_SHARE, most_connections
         self._pools: dict[int, list[Connection]] = {}
+        # Guard: a connection for each attempt, from each of many front ends, fills the tables of warehouses,
+        # and all that are new have their price. What it costs: one reset ends more of this one's attempts.
+        self.each = max(1, min(EACH_MOST, CONNECTIONS_MOST // instances))
 
     def shut(self, engine: int, gone: bool) -> None:
         for connection in list(self._pools.get(engine, ())):
@@ -301,7 +306,7 @@
         if free:
             return max(free, key=lambda c: c.idle_since)
         held = sum(map(len, self._pools.values()))
-        if len(pool) >= CONNECTIONS_MOST and fit:
+        if len(pool) >= self.each and fit:
             return min(fit, key=lambda c: c.load)
         if held >= self.most:
             if fit:
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -335,3 +335,18 @@
         loop.turn(0)
         assert sent < 16 << 20, "still reading"
     assert task is not None
+
+
+def test_the_more_front_ends_there_are_the_fewer_connections_each_has_to_a_warehouse():
+    for instances, most in ((1, 6), (3, 6), (6, 3), (40, 1), (60, 1)):
+        loop = Loop()
+        warehouses = RespWarehouses(loop, (b"lookup",), 32, 1, 30, 99, instances)
+        engine = Engine(1, ("127.0.0.1", 9))
+        made = set()
+        for n in range(9):
+            connection = warehouses._connection(engine, b"%d" % n)
+            assert connection is not None
+            connection.awaited += 1
+            made.add(id(connection))
+        assert len(made) == most
+        loop.close()
