Many gateways look only near the head of a group's order; a cold engine's reports count

Where all others are full by their reports, the one with room drew from everybody.

Cause: rules.py pick walked the whole order of engines for one with room, and has_room let a cold engine take its turns whatever it reported. Now a gateway looks at the first sixth of its group's order (four at least) that do not rest, and a cold engine's report is held against what it can do by now.

--- a/lilacfront/rules.py
+++ b/lilacfront/rules.py
@@ -28,6 +28,7 @@
 WAIT_MOST = 3  # requests waiting for each core in the list: more could not start while waiting still pays
 NEAR = 0.5  # of the mean load: so much fuller may the engine in this gateway's own zone be
 POOL_SPILL = 1.25  # SPILL where bounds are pooled: a report that fades shows but a part of what is too much
+FEWEST, NEARBY = 4, 6  # of many gateways, each looks so far along a group's order: this many, or a part
 KEPT = 0.5  # part more to which the densest may fill an engine, and others by their share ahead
 POOL_LEAST = 2.2  # threads a core, over all gateways, of the least pooled bound: fewer leave cores idle
 CREDIT = 1.0  # largest usual queries whose thread time an unused pooled bound saves up: one may then start
@@ -172,7 +173,7 @@
         self.cores, self.resized = 0.0, 0  # of those present; when they were counted
         self.pool, self.pooled = Bound(0.0, 1.0), False
         self.credit, self.credit_at, self.usual = math.inf, 0, 0.0  # thread time; of the largest query
-        self.each = 1.0  # threads of a query in hand, by the time that each class takes
+        self.each = 1.0  # threads of a query in hand, on the mean
         self.drawn: dict[int, tuple[float, int]] = {}  # table group -> requests of late, and when counted
         self.asked, self.asked_at, self.most_load = 0.0, 0, 0.0
         self.level, self.heard = 0.0, 0  # mean load a core of the engines heard, and how many those are
@@ -248,8 +249,7 @@
         for engine in [e for e in self.engines.values() if e.gone and not e.attempts]:
             self.report(engine, -1.0)
             del self.engines[engine.entry.engine]
-        # Departure (many gateways): where opening bounds fall under one query, one bound over all engines,
-        # moved by the same law, admits; each engine's own keeps its floor.
+        # Departure (many gateways): where opening bounds fall under one query, one over all engines admits.
         self.here = [e for e in self.engines.values() if not e.leaving]
         self.cold = [e for e in self.here if self.is_cold(e.entry)]
         self.ill = {e.entry.engine for e in self.here if e.aside_until}
@@ -262,7 +262,8 @@
     def resize(self) -> None:
         """Scale the pooled bound by the cores present; many gateways count a cold one as warm as it is.
 
-        Guard: counted whole, many cold ones let in what they can't yet take, and the warm get it."""
+        Guard: counted whole, many cold ones let in what they can't yet take, and the warm get it.
+        """
         cores = sum(e.cores * (self.warmth(e) if self.pooled else 1.0) for e in self.here)
         opening = OPEN * cores / self.settings.instances
         self.pool.bound = self.pool.bound * cores / self.cores if self.cores and cores else opening
@@ -385,7 +386,12 @@
         far = self.loads_apart and job.spec.holds_tables
         start = self.start(job.req.table_group, len(order)) if self.pooled else 0
         places = chain(range(start, len(order)), range(start))
-        walk = chain(self.cold if self.pooled else (), (order[-1 - n] if far else order[n] for n in places))
+        walk: Iterator[Engine] = (order[-1 - n] if far else order[n] for n in places)
+        if (
+            self.pooled
+        ):  # Guard: one engine with room, where the others have none, would draw from all gateways
+            up = (e for e in walk if self.now >= e.aside_until)
+            walk = chain(self.cold, islice(up, max(FEWEST, len(order) // NEARBY)))
         room: Iterator[Engine] = (e for e in walk if self.has_room(e, job, True) and self.may_send(job, e))
         if len(self.ill) > ASIDE_PART * len(order):  # then what rests comes last, but comes
             rests = (e for e in order if e.aside_until and self.has_room(e, job, False))
@@ -412,8 +418,8 @@
 
         Departure: only where crossing has a price; the order, and so what is warm where, stays the same.
         """
-        settings = self.settings
-        return NEAR if settings.cross_zone_price > 0 and engine.entry.zone != settings.zone else 0.0
+        crossed = self.settings.cross_zone_price > 0 and engine.entry.zone != self.settings.zone
+        return NEAR if crossed else 0.0
 
     def start(self, group: int, engines: int) -> int:
         """Where in a group's order this gateway begins.
@@ -432,12 +438,11 @@
         Departure (many gateways): own threads are 0 or 1 and tell nothing. An old report counts ever less
         against the mean, so no engine is left out for good; gateways hear at different times: no herd.
         """
-        own = engine.used / engine.cores
         if not self.pooled:
-            return own
+            return engine.used / engine.cores
         age = (self.now - engine.reported_at) / (STALE * self.round_us()) if engine.reported >= 0 else 1.0
         trust = max(0.0, 1.0 - age)
-        return own + self.level + trust * (engine.reported - self.level)
+        return engine.used / engine.cores + self.level + trust * (engine.reported - self.level)
 
     def round_us(self) -> int:
         """About the time in which this gateway sends each engine one query; 0 where bounds are not pooled."""
@@ -471,10 +476,9 @@
 
     def has_room(self, engine: Engine, job: Job, aside: bool) -> bool:
         if aside and engine.aside_until:
-            # a trial: one short query that may be lost, once the rest is over
             trial = job.spec.effect is i.Effect.SAFE and job.spec.threads <= self.smallest
             if not trial or engine.attempts or self.now < engine.aside_until:
-                return False
+                return False  # a trial is one short query that may be lost, once the rest is over
         if job.spec.holds_tables or job.spec.waits_for_loads:
             if engine.blocked.get(job.req.table_group, 0) > self.now:
                 return False
@@ -484,9 +488,12 @@
         if engine.used + job.spec.threads > engine.bound:
             engine.full = True
             return False
-        # Guard: reports count queries, the bound threads. Taken for one another, full engines went on
-        # being sent to while others stood idle. What a cold engine may get its turns say.
-        return not self.pooled or engine in self.cold or self.load(engine) <= self.most_load
+        # Guard: reports count queries, bounds threads: mixed up, full engines are sent more. A cold one has
+        # room by its turns until it tells its load.
+        warm = self.warmth(engine) if self.pooled and engine in self.cold else 1.0
+        if not self.pooled or (warm < 1.0 and engine.reported < 0):
+            return True
+        return self.load(engine) <= self.most_load * warm
 
     # ---- the life of an attempt ---------------------------------------------------------------------
     def may_send(self, job: Job, engine: Engine) -> bool:
@@ -533,7 +540,6 @@
     def cold_room(self, engine: Engine, kind: Kind) -> bool:
         """Rule 4: this gateway's part of what a cold engine may be sent within the window it falls over in.
 
-        Work is the class's usual work.
         Departure (many gateways): a part under one query goes whole to as many gateways as it makes, by turns
         of their numbers that need no talk; whoever has the turn spends it on queries of any class.
         """
@@ -642,8 +648,8 @@
                     self.blame(bad, self.error_step())
         elif result in (i.Result.ERROR, i.Result.TURNED_AWAY, i.Result.RESET):
             # Guard: quick failures of any kind (errors, resets, no session) make an engine look idle and draw
-            # ever more to it. It could hurt when all fail alike: what they have in common is not held against
-            # one, nor is each of the many that end with one connection, nor what fails on every engine.
+            # ever more to it. What all have in common is not held against one, nor is each of the many that
+            # end with one connection, nor what fails on every engine.
             if result is i.Result.RESET and self.now < engine.broke_at + STEP_US:
                 pass
             elif (blamed := self.failed_elsewhere(job, attempt)) and result is not i.Result.TURNED_AWAY:
@@ -672,8 +678,7 @@
     def error_step(self) -> float:
         """Weight of one answer in its engine's share of errors: the fewer come, the more each must tell.
 
-        Guard: many gateways see one or two answers each of an engine that fails most of what it gets, at
-        once, and so looks idle to all. It could hurt where good engines fail by chance: they rest a while.
+        Guard: an engine that fails at once most of what it gets looks idle to many that each see one or two.
         """
         return max(ERROR_STEP, min(ERROR_ONE, self.round_us() / ERROR_SPAN_US))
 
@@ -693,10 +698,8 @@
 
     def failed_elsewhere(self, job: Job, attempt: Attempt) -> Engine | None:
         """The first other engine on which this request failed: the failure is the request's own, then."""
-        bad = (i.Result.ERROR, i.Result.RESET)
-        return next(
-            (a.engine for a in job.attempts if a.result in bad and a.engine is not attempt.engine), None
-        )
+        bad = (a.engine for a in job.attempts if a.result in (i.Result.ERROR, i.Result.RESET))
+        return next((engine for engine in bad if engine is not attempt.engine), None)
 
     def report(self, engine: Engine, load: float) -> None:
         """A load a core, as told or as would explain an attempt that never came back; below 0: forget it."""
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -278,3 +278,22 @@
     gate.set_aside(gate.engines[10])
     gate.handle(100 * S, i.ClientGone(1))
     assert sends(ask(gate, 100 * S + 1, 2))  # all rest: the trouble is not theirs
+
+
+def test_one_engine_with_room_does_not_draw_the_queries_of_all_gateways():
+    """As when its last limit for cold ones ends, at one moment everywhere."""
+    gates = fleet(40, entries(30), SHORT)
+    taken = 0
+    for gate in gates:
+        gate.kinds[0].heard = 1
+        for engine in gate.engines.values():
+            gate.report(engine, 0.1 if engine.entry.engine == 7 else 9.0)
+        taken += len(sends(ask(gate, 100 * S, 1, table_group=gate.settings.slot)))
+    assert 1 <= taken <= 15
+
+
+def test_an_engine_whose_rest_is_over_gets_its_trial():
+    gate = fleet(40, entries(4), SHORT)[0]
+    for engine in gate.engines.values():
+        gate.set_aside(engine, 500_000)
+    assert sends(ask(gate, 102 * S, 1))
