--- a/lilacfront/rules.py
+++ b/lilacfront/rules.py
@@ -49,7 +49,7 @@
 ERROR_SPAN_US = 5_000_000  # one answer weighs as a part of all that come from its engine in so long
 ERRORS_MOST = 3  # engines that answer a request with an error: it is the request's own, and is tried no more
 ASIDE_US, ASIDE_MOST_US = 500_000, 4_000_000  # first and longest rest before a trial; doubles in between
-ASIDE_PART = 0.75  # of the engines set aside: beyond it the trouble is hardly theirs
+ASIDE_PART, ASIDE_MANY = 0.5, 0.75  # of the engines set aside, by few or many gateways: then they serve last
 COLD_MARGIN = 0.5  # of this gateway's part of a cold engine's budget is used: costs are guesses
 BUSY_SHARE = 0.85  # capacity is counted at cores this busy (rule 4)
 TAKE_BACKS = 0.01  # for each request taken: enough to see whether drawing anew pays here
@@ -393,7 +393,7 @@
             up = (e for e in walk if self.now >= e.aside_until)
             walk = chain(self.cold, islice(up, max(FEWEST, len(order) // NEARBY)))
         room: Iterator[Engine] = (e for e in walk if self.has_room(e, job, True) and self.may_send(job, e))
-        if len(self.ill) > ASIDE_PART * len(order):  # then what rests comes last, but comes
+        if len(self.ill) > (ASIDE_MANY if self.pooled else ASIDE_PART) * len(order):
             rests = (e for e in order if e.aside_until and self.has_room(e, job, False))
             room = chain(room, (e for e in rests if self.may_send(job, e)))
         if job.attempts:  # what has failed, or taken too long, on one engine is tried on another first
@@ -416,8 +416,7 @@
     def far(self, engine: Engine) -> float:
         """What counts against an engine of another zone, in mean loads.
 
-        Departure: only where crossing has a price; the order, and so what is warm where, stays the same.
-        """
+        Departure: only where crossing has a price; the order, and so what is warm where, stays the same."""
         crossed = self.settings.cross_zone_price > 0 and engine.entry.zone != self.settings.zone
         return NEAR if crossed else 0.0
 
@@ -451,8 +450,7 @@
     def pool_room(self, job: Job) -> bool:
         """Whether the pooled bound has room: what is free, with what it saved up, carries a likely run.
 
-        The denser a query's worth, the further it may overdraw: with room for a query or two, what runs long
-        would else refuse all that is short beside it.
+        The denser a query's worth, the further it may overdraw: what is long would else refuse what is short.
         """
         self.settle()
         beyond = (self.pool.used + job.spec.threads - self.pool.bound) * self.likely(job)
@@ -550,9 +548,12 @@
         most, span = COLD_MARGIN * rules.overload_factor * able * rules.fall_us, rules.fall_us + ASIDE_US
         while engine.sent and engine.sent[0][0] < self.now - span:
             engine.sent.popleft()
-        part = max(most / self.settings.instances, min(most, max(self.weight(k) for k in self.kinds)))
         turn = (self.settings.slot + mix(engine.entry.engine, self.now // span)) % self.settings.instances
-        return (turn + 1) * part <= most and sum(work for _, work in engine.sent) + self.weight(kind) <= part
+        sent, work, share = sum(w for _, w in engine.sent), self.weight(kind), most / self.settings.instances
+        if not self.pooled:
+            return sent + work <= share or (not sent and (turn + 1) * work * len(self.kinds) <= most)
+        part = max(share, min(most, max(self.weight(k) for k in self.kinds)))
+        return (turn + 1) * part <= most and sent + work <= part
 
     def weight(self, kind: Kind) -> float:
         """A query's work as rule 4 counts it: an uncrowded run where pooled, as crowded ones overstate it."""
@@ -678,8 +679,7 @@
     def error_step(self) -> float:
         """Weight of one answer in its engine's share of errors: the fewer come, the more each must tell.
 
-        Guard: an engine that fails at once most of what it gets looks idle to many that each see one or two.
-        """
+        Guard: an engine that fails at once most of what it gets looks idle to many that see but one or two"""
         return max(ERROR_STEP, min(ERROR_ONE, self.round_us() / ERROR_SPAN_US))
 
     def blame(self, engine: Engine, step: float) -> None:
