An engine's fullness is held to the opening bound, though a gateway's own bound grows

Seen on zone+vast where 19 of 40 front ends go with the zone: engines left held 24 queries each at busy 0.92, as the bounds of the front ends left grow and with them what counts as full (rules.py pick, most_load). It is now at most the opening bound, 3 threads a core, in queries.

--- a/lilacfront/rules.py
+++ b/lilacfront/rules.py
@@ -86,8 +86,7 @@
         self.attempts: list[Attempt] = []
         self.aim = self.wait_until = self.least = 0  # least: time out before it may be drawn anew
         self.done, self.density = False, 0.0  # density: worth for thread time
-        self.redrawn = False  # taken back once for being overdue
-        self.forgiven = False  # what it failed on first is no longer blamed for it
+        self.redrawn = self.forgiven = False  # taken back for being overdue; its first failure is not blamed
 
     def out(self) -> Attempt | None:
         return next((a for a in reversed(self.attempts) if a.result is None), None)
@@ -375,7 +374,8 @@
             if not self.pool_room(job):
                 return None
             spill *= 1.0 + KEPT * self.ahead(job)  # the last room on an engine is kept for what is dense
-            self.most_load = spill * self.pool.bound * self.settings.instances / self.cores / self.each
+            bound = min(OPEN, self.pool.bound * self.settings.instances / self.cores)
+            self.most_load = spill * bound / self.each
         order = self.orders.get(job.req.table_group)
         if order is None:
             group = job.req.table_group
