--- a/lilacfront/rules.py
+++ b/lilacfront/rules.py
@@ -28,7 +28,7 @@
 WAIT_MOST = 3  # requests waiting for each core in the list: more could not start while waiting still pays
 NEAR = 0.5  # of the mean load: so much fuller may the engine in this gateway's own zone be
 POOL_SPILL = 1.25  # SPILL where bounds are pooled: a report that fades shows but a part of what is too much
-FEWEST, NEARBY = 4, 6  # of many gateways, each looks so far along a group's order: this many, or a part
+REACH_LEAST, REACH_PART = 4, 6  # many gateways look at the first sixth of a group's order, four at least
 KEPT = 0.5  # part more to which the densest may fill an engine, and others by their share ahead
 POOL_LEAST = 2.2  # threads a core, over all gateways, of the least pooled bound: fewer leave cores idle
 CREDIT = 1.0  # largest usual queries whose thread time an unused pooled bound saves up: one may then start
@@ -172,7 +172,7 @@
         self.cores, self.resized = 0.0, 0  # of those present; when they were counted
         self.pool, self.pooled = Bound(0.0, 1.0), False
         self.credit, self.credit_at, self.usual = math.inf, 0, 0.0  # thread time; of the largest query
-        self.each = 1.0  # threads of a query in hand, on the mean
+        self.query_threads = 1.0  # threads of a query in hand, on the mean
         self.drawn: dict[int, tuple[float, int]] = {}  # table group -> requests of late, and when counted
         self.asked, self.asked_at, self.most_load = 0.0, 0, 0.0
         self.level, self.heard = 0.0, 0  # mean load a core of the engines heard, and how many those are
@@ -264,10 +264,9 @@
         Guard: counted whole, many cold ones let in what they can't yet take, and the warm get it.
         """
         cores = sum(e.cores * (self.warmth(e) if self.pooled else 1.0) for e in self.here)
-        opening = OPEN * cores / self.settings.instances
-        self.pool.bound = self.pool.bound * cores / self.cores if self.cores and cores else opening
-        self.cores, self.resized = cores, self.now
-        self.pool_floor = POOL_LEAST * cores / self.settings.instances
+        part = cores / self.settings.instances
+        self.pool.bound = self.pool.bound * cores / self.cores if self.cores and cores else OPEN * part
+        self.cores, self.resized, self.pool_floor = cores, self.now, POOL_LEAST * part
 
     def warmth(self, engine: Engine) -> float:
         """What part of its capacity an engine has: the unseen curve is taken as slow at first (a square)."""
@@ -375,7 +374,7 @@
                 return None
             spill *= 1.0 + KEPT * self.ahead(job)  # the last room on an engine is kept for what is dense
             bound = min(OPEN, self.pool.bound * self.settings.instances / self.cores)
-            self.most_load = spill * bound / self.each
+            self.most_load = spill * bound / self.query_threads
         order = self.orders.get(job.req.table_group)
         if order is None:
             group = job.req.table_group
@@ -387,11 +386,9 @@
         start = self.start(job.req.table_group, len(order)) if self.pooled else 0
         places = chain(range(start, len(order)), range(start))
         walk: Iterator[Engine] = (order[-1 - n] if far else order[n] for n in places)
-        if (
-            self.pooled
-        ):  # Guard: one engine with room, where the others have none, would draw from all gateways
+        if self.pooled:  # Guard: one engine with room, where others have none, would draw from everybody
             up = (e for e in walk if self.now >= e.aside_until)
-            walk = chain(self.cold, islice(up, max(FEWEST, len(order) // NEARBY)))
+            walk = chain(self.cold, islice(up, max(REACH_LEAST, len(order) // REACH_PART)))
         room: Iterator[Engine] = (e for e in walk if self.has_room(e, job, True) and self.may_send(job, e))
         if len(self.ill) > (ASIDE_MANY if self.pooled else ASIDE_PART) * len(order):
             rests = (e for e in order if e.aside_until and self.has_room(e, job, False))
@@ -416,7 +413,8 @@
     def far(self, engine: Engine) -> float:
         """What counts against an engine of another zone, in mean loads.
 
-        Departure: only where crossing has a price; the order, and so what is warm where, stays the same."""
+        Departure: only where crossing has a price; the order, and so what is warm where, stays the same.
+        """
         crossed = self.settings.cross_zone_price > 0 and engine.entry.zone != self.settings.zone
         return NEAR if crossed else 0.0
 
@@ -466,8 +464,10 @@
     def settle(self) -> None:
         """Save up what the pooled bound left unused since the last time, or note what was used beyond it."""
         self.usual = max(k.spec.threads * k.time for k in self.kinds)
-        held = [(k.heard * k.time, k.spec.threads) for k in self.kinds]
-        self.each = sum(h * n for h, n in held) / sum(h for h, _ in held) if any(h for h, _ in held) else 1.0
+        held = sum(k.heard * k.time for k in self.kinds)
+        self.query_threads = (
+            sum(k.heard * k.time * k.spec.threads for k in self.kinds) / held if held else 1.0
+        )
         free = (self.pool.bound - self.pool.used) * (self.now - self.credit_at)
         self.credit = max(-CREDIT * self.usual, min(CREDIT * self.usual, self.credit + free))
         self.credit_at = self.now
@@ -677,9 +677,8 @@
             self.pool.learn(ratio, spec.threads, 1.0, self.pool_floor, self.floor)
 
     def error_step(self) -> float:
-        """Weight of one answer in its engine's share of errors: the fewer come, the more each must tell.
-
-        Guard: an engine that fails at once most of what it gets looks idle to many that see but one or two"""
+        """Weight of one answer in its engine's share of errors: the fewer come, the more each must tell."""
+        # Guard: an engine that fails at once looks idle to many gateways that see one or two answers each.
         return max(ERROR_STEP, min(ERROR_ONE, self.round_us() / ERROR_SPAN_US))
 
     def blame(self, engine: Engine, step: float) -> None:
