A gateway's part of the bound is what it sees; reports no longer live in the others' debt

So the bound is this gateway's part of what the engines report (share). Overdraft went by rank (ahead), so of two classes all but alike the last had none, and the report's own work was counted crowded, which made it the last: now by how much denser, from uncrowded runs.

Also: an entry of the list that can't be read hides no other of its event, duplicates are named, zones that the settings do not name are told apart, a pick no longer walks all connections, and one that comes up after its warehouse has gone is closed.

--- a/lilacfront/membership/changelog.py
+++ b/lilacfront/membership/changelog.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from lilacfront.logs import Log
-from lilacfront.membership.fleet import Fleet
+from lilacfront.membership.fleet import Fleet, LooseFleet, read_loosely
 from lilacfront.sched import Loop, Stream, Task
 
 log = Log(__name__)
@@ -24,6 +24,10 @@
     fleet: Fleet | None = None
 
 
+class LooseEvent(msgspec.Struct):
+    fleet: LooseFleet | None = None
+
+
 class Number(msgspec.Struct):
     seq: int
 
@@ -36,6 +40,7 @@
 
 
 _LINE = msgspec.json.Decoder(Event | int)
+_LOOSE = msgspec.json.Decoder(LooseEvent)
 _NUMBER = msgspec.json.Decoder(Number)
 
 
@@ -100,10 +105,15 @@
         try:
             return _LINE.decode(line)
         except msgspec.ValidationError as problem:
-            # Guard: an event of a form that is not known here would be asked for again for ever.
+            # Guard: one entry that can't be read must not hide a drain that the same event tells.
             number = _NUMBER.decode(line).seq
-            log.warning("change log event unusable", seq=number, problem=problem)
-            return Event(number)
+            log.warning("change log event not usable whole", seq=number, problem=problem)
+            try:
+                loose = _LOOSE.decode(line).fleet
+            except msgspec.ValidationError:
+                # Guard: an event of a form that is not known here would be asked for again for ever.
+                loose = None
+            return Event(number, None if loose is None else read_loosely(loose))
 
     def _take(self, line: Event | int) -> bool:
         """False where an event is missing: a new connection with `since` brings it."""
--- a/lilacfront/membership/fleet.py
+++ b/lilacfront/membership/fleet.py
@@ -12,6 +12,7 @@
 from lilacfront.logs import Log
 
 log = Log(__name__)
+ZONES_MOST = 1024  # that the settings do not name and are told apart
 CONDITIONS = {"ready": Condition.READY, "draining": Condition.DRAINING, "gone": Condition.GONE}
 
 
@@ -34,6 +35,28 @@
     instances: list[Instance] = []
 
 
+class LooseFleet(msgspec.Struct):
+    """The same with its entries as they came: one that can't be read must not spoil the others."""
+
+    generation: int = 0
+    reset: bool = False
+    instances: list[msgspec.Raw] = []
+
+
+_INSTANCE = msgspec.json.Decoder(Instance)
+
+
+def read_loosely(fleet: LooseFleet) -> Fleet:
+    """The entries that can be read; each other one is logged with its place."""
+    read = []
+    for n, raw in enumerate(fleet.instances):
+        try:
+            read.append(_INSTANCE.decode(raw))
+        except (msgspec.MsgspecError, UnicodeDecodeError) as problem:
+            log.warning("list entry unusable", entry=n, problem=problem, text=bytes(raw)[:120])
+    return Fleet(fleet.generation, fleet.reset, read)
+
+
 class ListError(ValueError):
     """An entry that can't be used; the text names what is wrong."""
 
@@ -57,15 +80,21 @@
     zones: list[str]
     kinds: list[str]
     addresses: dict[int, tuple[str, int]] = field(default_factory=dict)
+    unnamed: dict[str, int] = field(default_factory=dict)  # zones that the settings do not name
 
     def news(self, fleet: Fleet) -> tuple[EngineList, Mapping[int, tuple[str, int]]]:
-        entries = []
+        entries, known = [], set[int]()
         for one in fleet.instances:
             try:
-                entries.append(self._entry(one))
+                entry = self._entry(one)
             except ListError as problem:
                 # Guard: one entry that can't be used must not hide the others, nor be asked for for ever.
                 log.warning("list of warehouses unusable", problem=problem)
+                continue
+            if entry.engine in known:
+                log.warning("an entry told twice, its last line holds", entry=one.instance_id)
+            known.add(entry.engine)
+            entries.append(entry)
         scope = ListScope.FULL if fleet.reset else ListScope.DELTA
         addresses = dict(self.addresses)
         # Guard: ids of warehouses that are gone must not pile up over long days.
@@ -92,6 +121,17 @@
             int(one.started_at_ms * 1000),
             one.cell,
             self.kinds.index(one.machine_type) if one.machine_type in self.kinds else 0,
-            self.zones.index(one.zone) if one.zone in self.zones else 0,
+            self._zone(one.zone),
             one.weight,
         )
+
+    def _zone(self, name: str) -> int:
+        """The number of a zone; one that the settings do not name gets a number of its own.
+
+        Guard: counted as the first zone, an engine far away would be taken for one of this gateway's own.
+        """
+        if name in self.zones:
+            return self.zones.index(name)
+        if len(self.unnamed) >= ZONES_MOST:
+            return len(self.zones) + ZONES_MOST
+        return self.unnamed.setdefault(name, len(self.zones) + len(self.unnamed))
--- a/lilacfront/rules.py
+++ b/lilacfront/rules.py
@@ -31,6 +31,7 @@
 REACH_LEAST, REACH_PART = 4, 6  # many gateways look at the first sixth of a group's order, four at least
 KEPT = 0.5  # part more to which the densest may fill an engine, and others by their share ahead
 POOL_LEAST = 2.2  # threads a core, over all gateways, of the least pooled bound: fewer leave cores idle
+HELD_US = 2_000_000  # in which half of what this gateway held is forgotten
 CREDIT = 1.0  # largest usual queries whose thread time an unused pooled bound saves up: one may then start
 HALF_US = 10_000_000  # in which old requests lose half their say in how wide a table group spreads
 AHEAD = 8.0  # largest usual queries by which the densest may overdraw a pooled bound, at the cost of others
@@ -122,9 +123,8 @@
     def learn(self, ratio: float, threads: int, average: float, floor: float, turn: float = 0.0) -> None:
         """AM-C (thesis, eq. 6.1): B becomes N / (1 + gain (L - 1)), one whole step for each turn of B.
 
-        Each outcome moves the bound by its part of a turn, since L only shows a change one turn later.
-        The admitted N is the bound itself when full, and the most held since the last change when not.
-        """
+        Each outcome moves it by its part of a turn: L shows a change one turn later. The admitted N is the
+        bound itself when full, and the most held since the last change when not."""
         part = min(1.0, threads / max(turn, self.bound))
         if self.ratio < 0:
             self.ratio = average
@@ -172,7 +172,7 @@
         self.cores, self.resized = 0.0, 0  # of those present; when they were counted
         self.pool, self.pooled = Bound(0.0, 1.0), False
         self.credit, self.credit_at, self.usual = math.inf, 0, 0.0  # thread time; of the largest query
-        self.query_threads = 1.0  # threads of a query in hand, on the mean
+        self.query_threads, self.held = 1.0, 0.0  # threads of a query, on the mean; in hand, smoothed
         self.drawn: dict[int, tuple[float, int]] = {}  # table group -> requests of late, and when counted
         self.asked, self.asked_at, self.most_load = 0.0, 0, 0.0
         self.level, self.heard = 0.0, 0  # mean load a core of the engines heard, and how many those are
@@ -259,14 +259,20 @@
         self.dispatch(len(self.waiting))
 
     def resize(self) -> None:
-        """Scale the pooled bound by the cores present; many gateways count a cold one as warm as it is.
-
-        Guard: counted whole, many cold ones let in what they can't yet take, and the warm get it.
-        """
+        """Scale the pooled bound by the cores present, cold ones as warm as they are: what is let in beyond
+        what they can take yet goes to the warm ones."""
         cores = sum(e.cores * (self.warmth(e) if self.pooled else 1.0) for e in self.here)
-        part = cores / self.settings.instances
-        self.pool.bound = self.pool.bound * cores / self.cores if self.cores and cores else OPEN * part
-        self.cores, self.resized, self.pool_floor = cores, self.now, POOL_LEAST * part
+        opening = OPEN * cores * self.share()
+        self.pool.bound = self.pool.bound * cores / self.cores if self.cores and cores else opening
+        self.cores, self.resized = cores, self.now
+
+    def share(self) -> float:
+        """This gateway's part of what the engines can do: half as if all were alike, half as it is seen.
+
+        Guard: some gateways see several times the mean, and some are dead. Of all threads, as told by the
+        engines' reports, its own are its part; the first half lets one begin that holds none."""
+        alike, threads = 1.0 / self.settings.instances, self.level * self.query_threads * self.cores
+        return (alike + min(1.0, self.held / threads)) / 2 if threads > 0 else alike
 
     def warmth(self, engine: Engine) -> float:
         """What part of its capacity an engine has: the unseen curve is taken as slow at first (a square)."""
@@ -295,7 +301,8 @@
         if req.work_us is not None and req.work_us / spec.threads > req.left_us:
             self.end(job)  # it can't be done in the time left even alone
             return
-        job.density = spec.worth / max(1.0, float(req.work_us if req.work_us is not None else kind.work))
+        work = float(req.work_us) if req.work_us is not None else self.weight(kind)
+        job.density = spec.worth / max(1.0, work)
         if self.over_share(req):
             job.density *= self.settings.over_share_worth
             job.wait_until = self.now
@@ -309,10 +316,8 @@
         self.drawn[group] = (count * 0.5 ** ((self.now - at) / HALF_US) + 1.0, self.now)
 
     def over_share(self, req: i.Request) -> bool:
-        """Whether a tenant is past its share: this gateway's part of its allowance, with some saved up.
-
-        It then waits for nothing. What fits is still served: its traffic may just come through few gateways.
-        """
+        """Whether a tenant is past its share: this gateway's part of its allowance, with some saved up. It
+        then waits for nothing; what fits is served: its traffic may just come through few gateways."""
         if req.tenant >= len(self.tokens):
             return False
         rate = self.settings.tenants[req.tenant].allowance_per_s / self.settings.instances
@@ -365,15 +370,14 @@
         """The engine rule: first two with room in the table group's order, the emptier a core; or spill.
 
         Departure: where classes stand still behind loads, loads walk the order from its far end. An engine
-        that a request has failed on, or was taken back from, comes last for it.
-        """
+        that a request has failed on, or was taken back from, comes last for it."""
         mean, spill = self.pool.used / max(1.0, self.cores), SPILL
         if self.pooled:
             mean, spill = mean + self.level, POOL_SPILL
             if not self.pool_room(job):
                 return None
             spill *= 1.0 + KEPT * self.ahead(job)  # the last room on an engine is kept for what is dense
-            bound = min(OPEN, self.pool.bound * self.settings.instances / self.cores)
+            bound = min(OPEN, self.pool.bound / self.share() / self.cores)
             self.most_load = spill * bound / self.query_threads
         order = self.orders.get(job.req.table_group)
         if order is None:
@@ -401,7 +405,10 @@
             return None
         if job.attempts and first[0] not in tried:
             return first[0]
-        best = min(first, key=lambda e: self.load(e) + mean * self.far(e))
+        # Departure: an engine of another zone counts as fuller only where crossing has a price; the order,
+        # and so what is warm where, stays the same.
+        far_zone = NEAR * mean if self.settings.cross_zone_price > 0 else 0.0
+        best = min(first, key=lambda e: self.load(e) + far_zone * (e.entry.zone != self.settings.zone))
         if self.pooled and first[0] in self.cold:  # its turn: left to chance it would lapse
             return first[0]
         if self.load(best) <= spill * mean:
@@ -410,20 +417,10 @@
             return next((e for e in room if self.load(e) <= mean), best)
         return min(chain(first, room), key=self.load)
 
-    def far(self, engine: Engine) -> float:
-        """What counts against an engine of another zone, in mean loads.
-
-        Departure: only where crossing has a price; the order, and so what is warm where, stays the same.
-        """
-        crossed = self.settings.cross_zone_price > 0 and engine.entry.zone != self.settings.zone
-        return NEAR if crossed else 0.0
-
     def start(self, group: int, engines: int) -> int:
-        """Where in a group's order this gateway begins.
-
-        Departure (many gateways): own threads are too few to show that a group draws more than two engines
-        can carry. The gateways spread over twice the engines that its part calls for, by own number.
-        """
+        """Where in a group's order this gateway begins. Departure (many gateways): own threads are too few to
+        show that a group draws more than two engines can carry, so they spread by their own numbers over
+        twice the engines that its part calls for."""
         count, _ = self.drawn.get(group, (0.0, 0))
         part = (count - 1.0) / max(1.0, self.asked)
         wide = max(2, min(engines, round(2.0 * part * engines)))
@@ -431,10 +428,8 @@
 
     def load(self, engine: Engine) -> float:
         """This gateway's threads a core; where bounds are pooled, on top of what the engine last reported.
-
         Departure (many gateways): own threads are 0 or 1 and tell nothing. An old report counts ever less
-        against the mean, so no engine is left out for good; gateways hear at different times: no herd.
-        """
+        against the mean, so no engine is left out for good; gateways hear at different times: no herd."""
         if not self.pooled:
             return engine.used / engine.cores
         age = (self.now - engine.reported_at) / (STALE * self.round_us()) if engine.reported >= 0 else 1.0
@@ -446,10 +441,8 @@
         return int(len(self.engines) * HALF_US / max(1.0, self.asked)) if self.pooled else 0
 
     def pool_room(self, job: Job) -> bool:
-        """Whether the pooled bound has room: what is free, with what it saved up, carries a likely run.
-
-        The denser a query's worth, the further it may overdraw: what is long would else refuse what is short.
-        """
+        """Whether the pooled bound has room: what is free, with what it saved up, carries a likely run. The
+        denser a query's worth, the further it may overdraw: what is long would else refuse what is short."""
         self.settle()
         beyond = (self.pool.used + job.spec.threads - self.pool.bound) * self.likely(job)
         if beyond <= self.credit + AHEAD * self.ahead(job) * self.usual:
@@ -458,17 +451,21 @@
         return False
 
     def ahead(self, job: Job) -> float:
-        """The share of the classes whose worth for thread time is less than this query's."""
-        return sum(k.spec.worth / k.work < job.density for k in self.kinds) / len(self.kinds)
+        """By how much this query's worth for thread time is ahead of the classes', on the mean; 0 to 1.
+
+        Guard: by rank, of classes that are all but alike the last would be shut out by the others' debt."""
+        behind = (max(0.0, 1.0 - k.spec.worth / self.weight(k) / job.density) for k in self.kinds)
+        return sum(behind) / len(self.kinds)
 
     def settle(self) -> None:
         """Save up what the pooled bound left unused since the last time, or note what was used beyond it."""
         self.usual = max(k.spec.threads * k.time for k in self.kinds)
         held = sum(k.heard * k.time for k in self.kinds)
-        self.query_threads = (
-            sum(k.heard * k.time * k.spec.threads for k in self.kinds) / held if held else 1.0
-        )
-        free = (self.pool.bound - self.pool.used) * (self.now - self.credit_at)
+        threads = sum(k.heard * k.time * k.spec.threads for k in self.kinds)
+        self.query_threads = threads / held if held else 1.0
+        spent = self.now - self.credit_at
+        self.held += (1.0 - 0.5 ** (spent / HELD_US)) * (self.pool.used - self.held)
+        free = (self.pool.bound - self.pool.used) * spent
         self.credit = max(-CREDIT * self.usual, min(CREDIT * self.usual, self.credit + free))
         self.credit_at = self.now
 
@@ -537,10 +534,8 @@
 
     def cold_room(self, engine: Engine, kind: Kind) -> bool:
         """Rule 4: this gateway's part of what a cold engine may be sent within the window it falls over in.
-
         Departure (many gateways): a part under one query goes whole to as many gateways as it makes, by turns
-        of their numbers that need no talk; whoever has the turn spends it on queries of any class.
-        """
+        of their numbers that need no talk; whoever has the turn spends it on queries of any class."""
         rules = self.settings.rules
         if rules.overload_factor is None:
             return True
@@ -648,9 +643,8 @@
                 for bad in {a.engine for a in job.attempts if a.result is i.Result.ERROR}:
                     self.blame(bad, self.error_step())
         elif result in (i.Result.ERROR, i.Result.TURNED_AWAY, i.Result.RESET):
-            # Guard: quick failures of any kind (errors, resets, no session) make an engine look idle and draw
-            # ever more to it. What all have in common is not held against one, nor is each of the many that
-            # end with one connection, nor what fails on every engine.
+            # Guard: quick failures of any kind make an engine look idle and draw ever more to it. What all
+            # have in common is not held against one, nor is each of many that end with one connection.
             if result is i.Result.RESET and self.now < engine.broke_at + STEP_US:
                 pass
             elif (blamed := self.failed_elsewhere(job, attempt)) and result is not i.Result.TURNED_AWAY:
@@ -674,7 +668,7 @@
             heard = [e.ratio for e in self.here if e.ratio >= 0] if engine.ratio < 0 else []
             average = sum(heard) / len(heard) if heard else 1.0
             engine.learn(ratio, spec.threads, average, self.floor)
-            self.pool.learn(ratio, spec.threads, 1.0, self.pool_floor, self.floor)
+            self.pool.learn(ratio, spec.threads, 1.0, POOL_LEAST * self.cores * self.share(), self.floor)
 
     def error_step(self) -> float:
         """Weight of one answer in its engine's share of errors: the fewer come, the more each must tell."""
@@ -782,8 +776,7 @@
             if self.now - self.step_at < 2 * STEP_US:
                 self.check_busy()
             else:
-                # Guard: this gateway stood still itself; what is unheard may be on its way. It could hurt
-                # where timers always come late: silence is then never seen.
+                # Guard: this gateway stood still itself; what is unheard may be on its way.
                 for engine in self.engines.values():
                     engine.heard = self.now
             self.dispatch(len(self.waiting))
@@ -798,12 +791,10 @@
 
     def check_busy(self) -> None:
         """Guard: silence with work out (hang, dead link, stalled machine): answers due since last heard.
-        It could hurt a crowded engine, so the silence must also last well past the shortest likely time.
-
+        It could hurt a crowded engine, so it must also last well past the shortest likely time.
         Guard: an attempt far past its likely time, or bound to be by its notes (bad plan, stuck query):
-        drawn anew, once. It could hurt when one is truly long, and when all are slow; so requests taken
-        ration it, and only one that then ends in time earns back what it took.
-        """
+        drawn anew, once. It could hurt when all are slow; so requests taken ration it, and only one that
+        then ends in time earns back what it took."""
         for engine in list(self.busy.values()):
             held = [(j, a, self.likely(j), self.now - a.sent) for j, a in engine.attempts.values()]
             quiet = self.now - engine.heard
@@ -817,6 +808,8 @@
                     late = int((attempt.note_at - attempt.sent) * (1.0 / attempt.share - 1.0))
                 if silent:
                     self.take_back(job, attempt)
+                elif self.pooled and self.now + likely > job.aim:
+                    pass  # Guard: what is late, drawn anew by all, crowds out what could be in time
                 elif not job.redrawn and self.take_backs >= 1.0 and late > max(OVERDUE * likely, job.least):
                     job.redrawn = self.take_back(job, attempt)
                     self.take_backs -= job.redrawn
--- a/lilacfront/warehouses/resp.py
+++ b/lilacfront/warehouses/resp.py
@@ -7,6 +7,7 @@
 
 import math
 import re
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -140,8 +141,15 @@
 class Connection:
     """One connection to one warehouse, from the first wish for it to its end."""
 
-    def __init__(self, loop: Loop, engine: Engine, connect_s: float, idle_s: float) -> None:
-        self.loop, self.engine, self.idle_s = loop, engine, idle_s
+    def __init__(
+        self,
+        loop: Loop,
+        engine: Engine,
+        connect_s: float,
+        idle_s: float,
+        on_close: Callable[[Connection], None],
+    ) -> None:
+        self.loop, self.engine, self.idle_s, self._on_close = loop, engine, idle_s, on_close
         self.ready, self.closed = Gate(loop), False
         self.stream: Stream | None = None
         self.open: dict[bytes, Open] = {}
@@ -167,7 +175,9 @@
                 ended=self.loop.now,
                 up=isinstance(made, Stream),
             )
-            if isinstance(made, Stream):
+            if isinstance(made, Stream) and self.closed:
+                made.close()  # its engine went while it came up: nobody is to hold it
+            elif isinstance(made, Stream):
                 self.stream = made
                 self.idle_since = self.loop.now
                 self.ready.set()
@@ -254,6 +264,7 @@
         self.ready.set()
         for found in self.open.values():
             found.inbox.put(Broken.ENDED)
+        self._on_close(self)
 
 
 class RespWarehouses:
@@ -271,7 +282,8 @@
     ) -> None:
         self.loop, self.class_names, self.streams = loop, class_names, streams
         self.connect_s, self.idle_s, self.most = connect_s, idle_s * IDLE_SHARE, most_connections
-        self._pools: dict[int, list[Connection]] = {}
+        self._pools: dict[int, list[Connection]] = {}  # by engine, those that are not closed
+        self._held = 0
         # Guard: a connection for each attempt, from each of many front ends, fills the tables of warehouses,
         # and all that are new have their price. What it costs: one reset ends more of this one's attempts.
         self.each = max(1, min(EACH_MOST, CONNECTIONS_MOST // instances))
@@ -282,19 +294,21 @@
             if gone:
                 # Guard: a machine that vanished says nothing; what is open on it will never be answered.
                 connection.close()
-        if gone:
-            self._pools.pop(engine, None)
+
+    def _closed(self, connection: Connection) -> None:
+        self._held -= 1
+        number = connection.engine.number
+        self._pools[number].remove(connection)
+        if not self._pools[number]:
+            del self._pools[number]
 
     def _connection(self, engine: Engine, call: bytes) -> Connection | None:
         """A connection with room that holds nothing of this request, made if need be."""
-        for number, others in list(self._pools.items()):
-            self._pools[number] = [c for c in others if not c.closed]
-        pool = self._pools.setdefault(engine.number, [])
-        for connection in pool:
+        for connection in list(self._pools.get(engine.number, ())):
             # Guard: one that the warehouse has ended by now would make a write look as if it might have run.
             if connection.stream is not None and not connection.load and not connection.stream.alive():
                 connection.close()
-        pool = self._pools[engine.number] = [c for c in pool if not c.closed]
+        pool = self._pools.get(engine.number, [])
         fit = [
             c
             for c in pool
@@ -305,18 +319,19 @@
         free = [c for c in fit if not c.load]
         if free:
             return max(free, key=lambda c: c.idle_since)
-        held = sum(map(len, self._pools.values()))
         if len(pool) >= self.each and fit:
             return min(fit, key=lambda c: c.load)
-        if held >= self.most:
+        if self._held >= self.most:
             if fit:
                 return min(fit, key=lambda c: c.load)
             idle = [c for others in self._pools.values() for c in others if not c.load]
             if not idle:
                 return None
             min(idle, key=lambda c: c.idle_since).close()
-        pool.append(Connection(self.loop, engine, self.connect_s, self.idle_s))
-        return pool[-1]
+        made = Connection(self.loop, engine, self.connect_s, self.idle_s, self._closed)
+        self._pools.setdefault(engine.number, []).append(made)
+        self._held += 1
+        return made
 
     def attempt(self, task: Task, chosen: Chosen, request: Request, sink: Sink, watch: Watch) -> Outcome:
         connection = self._connection(chosen.engine, request.call)
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -22,9 +22,10 @@
 from lilacfront.cli import main
 from lilacfront.core.facade import result_of
 from lilacfront.core.model import Chosen, Ending, Engine, Outcome, Reach, Request
-from lilacfront.interface import Result
+from lilacfront.interface import Condition, Result
 from lilacfront.logs import Sparing
-from lilacfront.membership.fleet import Fleet
+from lilacfront.membership.changelog import ChangeLog, Event
+from lilacfront.membership.fleet import Fleet, Roster
 from lilacfront.protocols import thrift
 from lilacfront.sched import Interrupted, Loop, Stream, Task, TimedOut
 from lilacfront.sched.mailbox import Mailbox
@@ -349,3 +350,32 @@
                 made.add(id(connection))
         assert len(made) == most
         loop.close()
+
+
+def test_an_entry_that_can_not_be_read_hides_no_drain_that_the_same_event_tells(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    good = {"instanceId": "b", "hostPort": "1.1.1.1:3", "lifecycle": "draining", "zone": "nowhere"}
+    twice = {**good, "instanceId": "c", "zone": "else"}
+    bad = {"instanceId": "a", "hostPort": "1.1.1.1:2", "weight": "heavy"}
+    line = json.dumps({"seq": 4, "fleet": {"instances": [bad, good, twice, twice]}}).encode()
+    event = ChangeLog._decode(line)
+    assert isinstance(event, Event) and event.seq == 4 and event.fleet is not None
+    news, _ = Roster(["hall-a"], []).news(event.fleet)
+    assert [entry.condition for entry in news.entries] == [Condition.DRAINING] * 3
+    # Zones that the settings do not name are none of those named, and differ.
+    assert [entry.zone for entry in news.entries] == [1, 2, 2]
+    told = " ".join(str(getattr(record, "fields", "")) for record in caplog.records)
+    assert "'entry': 0" in told and "weight" in told and "'entry': 'c'" in told
+
+
+def test_a_connection_that_comes_up_when_its_warehouse_is_gone_is_not_kept(loop: Loop) -> None:
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        warehouses = RespWarehouses(loop, (b"lookup",), 32, 1, 30, 99)
+        connection = warehouses._connection(Engine(1, listener.getsockname()), b"1")
+        assert connection is not None
+        warehouses.shut(1, True)
+        turns(loop, 1)
+        assert connection.stream is None and not warehouses._pools and warehouses._held == 0
+        listener.accept()[0].close()
+        assert [fd for fd in loop._watched if fd != loop._wake_in.fileno()] == []
