Peers tell each other load reports; one long query is no silent engine, two lost notes are

Of 3,479 lookups given up 2,784, and of 538 reports 515, were on engines that answered others meanwhile, as here: attempt request=72 cls=0 group=82 engine=127.11.0.32:7001 began=1796159863.366 ended=1796159864.279 "given up" (7 answers to others from that engine meanwhile). At fault: check_busy, `due >= MISSED` from one query's own time; with one query an engine and gateway any long one was proof of silence, the engine rested (10.5 of 74 at each gateway), and closed to reports until a lookup tried it (has_room). Now one query counts three of the six, two progress notes in a row must be missing otherwise, and any read may be the trial. Each gateway heard an engine every 12 to 30 s (round_s in the state lines). An engine is filled to the bound and no more to 1.25 times it. Groups counted and orders kept are bounded.

--- a/lilacfront/config.py
+++ b/lilacfront/config.py
@@ -43,6 +43,8 @@
     limits: Limits = msgspec.field(default_factory=Limits)
     changelog: str = ""
     known: Known = msgspec.field(default_factory=Known)
+    peer_listen: str = ""
+    peers: list[str] = []
 
 
 class RuleFile(msgspec.Struct, forbid_unknown_fields=True, rename={"cls": "class"}):
@@ -124,6 +126,8 @@
     idle_s: float
     gateway: Gateway
     teams: Teams | None = None
+    peer_listen: tuple[str, int] | None = None
+    peers: tuple[tuple[str, int], ...] = ()  # by their numbers in the settings
 
 
 def _address(text: str, key: str, least: int = 1) -> tuple[str, int]:
@@ -242,6 +246,10 @@
     if not all(isinstance(name, str) and name for name in names) or len(set(names)) < len(names):
         raise ConfigError(f"settings.classes: names {names!r} must be given and differ")
     limits = raw.settings.get("policy-limits") or {}
+    peers = tuple(_address(one, f"peers[{n}]") for n, one in enumerate(raw.peers))
+    if twice := {one for one in peers if peers.count(one) > 1} if len(set(peers)) < len(peers) else None:
+        host, port = min(twice)
+        raise ConfigError(f"peers[{peers.index((host, port))}]: {host}:{port} stands there twice")
     return Config(
         name=environment.get("PROXY_NAME", raw.name),
         listen=_address(listen, "PROXY_LISTEN" if "PROXY_LISTEN" in environment else "listen", 0),
@@ -259,6 +267,8 @@
         idle_s=_count(limits, "conn-idle", DEFAULT_IDLE_US) / 1e6,
         gateway=parse_gateway(gateway, names, settings),
         teams=_teams(teams, names),
+        peer_listen=_address(raw.peer_listen, "peer_listen", 0) if raw.peer_listen else None,
+        peers=peers,
     )
 
 
--- a/lilacfront/core/facade.py
+++ b/lilacfront/core/facade.py
@@ -104,6 +104,7 @@
         self._ticker: Task | None = None
         self._open: dict[int, Engine] = {}  # engines that may be sent to
         self.on_shut: Callable[[int, bool], None] = lambda engine, gone: None
+        self.on_tell: Callable[[int | None, bytes], None] = lambda peer, data: None
         self._unmet: set[str] = set()
 
     @property
@@ -137,6 +138,10 @@
         if self.teams is not None:
             self._decided(self.teams.capacity(self.loop.now, sum(self._cores.values())))
 
+    def heard_peer(self, sender: int, data: bytes) -> None:
+        """Another gateway says something."""
+        self._handle(i.PeerMessage(sender, data))
+
     def may_send(self, engine: Engine) -> bool:
         """Whether a send decided earlier may still begin: asked again after every wait for a connection."""
         return self._open.get(engine.number) == engine
@@ -146,7 +151,14 @@
         """Hand a request to the decisions; `pick` tells what they say."""
         ticket = Ticket(self, next(self._numbers), request, task)
         self._tickets[ticket.number] = ticket
-        log.debug("request", request=ticket.number, cls=request.cls, at=self.loop.now, until=request.deadline)
+        log.debug(
+            "request",
+            request=ticket.number,
+            call=request.call,
+            cls=request.cls,
+            at=self.loop.now,
+            until=request.deadline,
+        )
         if self.teams is None:
             self._offer(ticket)
             return ticket
@@ -333,6 +345,8 @@
                 heapq.heappush(self._timers, (at, token))
                 if first and self._ticker is not None:
                     self._ticker.wake(None)
+            case i.Tell(peer, data):
+                self.on_tell(peer, data)
             case i.LogLine(text):
                 log.info("decisions", text=text)
             case i.SetTerms() | i.Send() | i.Refuse() | i.Fail() | i.Cancel():
--- /dev/null
+++ b/lilacfront/hearsay.py
@@ -0,0 +1,83 @@
+"""What gateways tell each other of engines: the freshest load reports, to one peer now and then.
+
+State and decisions without I/O. Departure (many gateways): each of them hears an engine once in ten seconds
+or more, while the fleet hears it many times a second. A message goes to a peer drawn at random with every so
+many requests, so that its price stays the same small part whatever the traffic and however many gateways
+there are, and news reaches all of them in a few steps. Messages come late, or never, and a peer may be wrong:
+what they say counts as a report of that age, of engines that are in the list, and as nothing more.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+import struct
+from collections.abc import Iterable, Iterator
+from heapq import nlargest
+
+from lilacfront import interface as i
+
+VERSION = 1
+MESSAGE_MOST = 256
+ENTRY = struct.Struct(">IBB")  # the engine's number, its last 32 bits; age; load a core
+ENTRIES_MOST = (MESSAGE_MOST - 1) // ENTRY.size
+SHORT = 0xFFFFFFFF
+AGE_US = 50_000  # unit of an age on the wire
+AGE_MOST = 200  # units: what is older says too little of the present
+LOADS = 32.0  # units of a load a core of 1; at most 255 of them are told
+PRICE_PART = 0.003  # of the worth that may go into messages
+LEAST_REQUESTS = 3  # for each message, however cheap they are
+
+Told = tuple[int, float, int]  # an engine, its load a core, and when that was true
+
+
+class Hearsay:
+    """One gateway's side of it."""
+
+    def __init__(self, settings: i.Settings, seed: int) -> None:
+        self.slot, self.instances = settings.slot, settings.instances
+        self.every = max(LEAST_REQUESTS, math.ceil(settings.peer_price / PRICE_PART))
+        self.may = settings.limits.tell and settings.instances > 1
+        self.wanted = False  # where a gateway hears enough by itself, nothing is told
+        self.requests = 0
+        self._random = random.Random(seed)
+        self._reports: dict[int, tuple[float, int]] = {}  # engine -> load a core, and when that was so
+        self._numbers: dict[int, int] = {}  # an engine's last 32 bits -> its number; 0: two share them
+
+    def engines(self, numbers: Iterable[int], wanted: bool) -> None:
+        """The engines in the list: of others nothing is told, and nothing believed."""
+        self.wanted, self._numbers = wanted, {}
+        for number in numbers:
+            short = number & SHORT
+            self._numbers[short] = 0 if short in self._numbers else number
+        listed = set(self._numbers.values())
+        self._reports = {n: one for n, one in self._reports.items() if n in listed}
+
+    def keep(self, engine: int, load: float, at: int) -> None:
+        """What is known of an engine by now; a load below 0: nothing."""
+        self._reports[engine] = load, at
+
+    def tell(self, now: int) -> list[i.Action]:
+        """With every so many requests a message of what is freshest."""
+        self.requests += 1
+        if not (self.may and self.wanted) or self.requests % self.every:
+            return []
+        data = bytes([VERSION])
+        for number, (load, at) in nlargest(ENTRIES_MOST, self._reports.items(), key=lambda one: one[1][1]):
+            age = max(0, now - at) // AGE_US + 1  # never younger than it is, for all the way it has
+            if age <= AGE_MOST and load >= 0:
+                data += ENTRY.pack(number & SHORT, age, min(255, round(load * LOADS)))
+        if len(data) == 1:
+            return []
+        peer = self._random.randrange(self.instances - 1)
+        return [i.Tell(peer + (peer >= self.slot), data)]
+
+    def heard(self, now: int, data: bytes) -> Iterator[Told]:
+        """What a message says that is news here; nothing, where it is not one of ours."""
+        ours = 0 < len(data) <= MESSAGE_MOST and data[0] == VERSION and len(data) % ENTRY.size == 1
+        if not ours or not self.wanted:
+            return
+        for short, age, load in ENTRY.iter_unpack(data[1:]):
+            number, at = self._numbers.get(short, 0), now - age * AGE_US
+            if number and age <= AGE_MOST and at > self._reports.get(number, (0.0, 0))[1]:
+                yield number, load / LOADS, at
--- a/lilacfront/interface.py
+++ b/lilacfront/interface.py
@@ -157,6 +157,7 @@
     cross_zone_price: float = 0.0
     late_fail_price: float = 0.0
     waste_price: float = 0.0
+    peer_price: float = 0.0  # of a full message for each request
     tick_us: int = 0
 
 
--- a/lilacfront/lab/cli.py
+++ b/lilacfront/lab/cli.py
@@ -7,12 +7,16 @@
 import click
 
 from lilacfront.lab import behaviour as behaviours
+from lilacfront.lab.fleetlog import count
 from lilacfront.lab.process import serve
 
 
 @click.group("lab")
 def group() -> None:
-    """Stand-ins with known behaviour, and experiments."""
+    """Stand-ins with known behaviour, experiments, and a fleet's logs counted."""
+
+
+group.add_command(count)
 
 
 @group.command()
--- /dev/null
+++ b/lilacfront/peers.py
@@ -0,0 +1,59 @@
+"""Datagrams between front ends: sent to one peer or all, taken from peers alone; nothing here reads them."""
+
+from __future__ import annotations
+
+import select
+import socket
+from collections.abc import Callable
+
+from lilacfront.logs import Log
+from lilacfront.sched import Loop
+
+log = Log(__name__)
+MESSAGE_MOST = 256
+TURN_MOST = 64  # datagrams taken in one turn, so that a flood of them can't keep it to itself
+
+
+class PeerLink:
+    """One UDP socket at `listen`; peers are named by their places in `addresses`."""
+
+    def __init__(
+        self,
+        loop: Loop,
+        listen: tuple[str, int],
+        addresses: tuple[tuple[str, int], ...],
+        heard: Callable[[int, bytes], None],
+    ) -> None:
+        self.loop, self.addresses, self._heard = loop, addresses, heard
+        self._places = {address: n for n, address in enumerate(addresses)}
+        self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.sock.setblocking(False)
+        self.sock.bind(listen)
+        self.address: tuple[str, int] = self.sock.getsockname()
+        self.loop.watch(self.sock.fileno(), select.POLLIN, self._polled)
+
+    def _polled(self, _: int) -> None:
+        for _ in range(TURN_MOST):
+            try:
+                data, sender = self.sock.recvfrom(MESSAGE_MOST + 1)
+            except OSError:  # nothing more, or word that an earlier datagram met nobody
+                return
+            place = self._places.get(sender)
+            # Guard: what a stranger sends, or what is too long, says nothing.
+            if place is not None and len(data) <= MESSAGE_MOST:
+                self._heard(place, data)
+
+    def send(self, peer: int | None, data: bytes) -> None:
+        """Late or never, and never longer than is allowed."""
+        if len(data) > MESSAGE_MOST:
+            log.error("a message to a peer is too long", bytes=len(data))
+            return
+        for address in self.addresses if peer is None else self.addresses[peer : peer + 1]:
+            try:
+                self.sock.sendto(data, address)
+            except OSError as problem:
+                log.debug("a message that could not leave", peer=address, problem=problem)
+
+    def close(self) -> None:
+        self.loop.unwatch(self.sock.fileno())
+        self.sock.close()
--- a/lilacfront/rules.py
+++ b/lilacfront/rules.py
@@ -1,7 +1,4 @@
-"""Every decision of a lilacfront gateway. Settings, events and actions: lilacfront/interface.py.
-
-In order: constants, state, membership, admission and pick, attempts, timers. Times are microseconds.
-"""
+"""Every decision of a lilacfront gateway. Settings, events and actions: interface.py. Times: microseconds."""
 
 from __future__ import annotations
 
@@ -12,6 +9,7 @@
 from itertools import chain, islice
 
 from lilacfront import interface as i
+from lilacfront.hearsay import Hearsay
 
 # ---- constants, each with its reason ------------------------------------------------------------
 IDLE_BUSY = 0.7  # cores less busy than this are not what made a query late
@@ -33,28 +31,27 @@
 POOL_LEAST = 2.2  # threads a core, over all gateways, of the least pooled bound: fewer leave cores idle
 HELD_US = 2_000_000  # in which half of what this gateway held is forgotten
 CREDIT = 1.0  # largest usual queries whose thread time an unused pooled bound saves up: one may then start
+GROUPS_MOST, PLACES_MOST = 4096, 1 << 18  # groups counted; places in all orders kept: a few megabytes
 HALF_US = 10_000_000  # in which old requests lose half their say in how wide a table group spreads
 AHEAD = 8.0  # largest usual queries by which the densest may overdraw a pooled bound, at the cost of others
 STALE = 3.0  # times as long as it takes to ask as often as there are engines, a report is trusted ever less
 TRIES = 8  # waiting requests without an engine after which an outcome's pass ends (saves time only)
-SHARE_SAVED = 2.0  # seconds of its allowance that a quiet tenant saves up
-SHARE_LEAST = 3.0  # requests that it saves up at least: chance bunches that many where few come
+SHARE_SAVED, SHARE_LEAST = 2.0, 3.0  # a quiet tenant's savings: seconds of its allowance; requests at least
 OVERDUE = 4.0  # times its likely time: chance and sharing seldom stretch a query so far, bad plans do
 OVERDUE_AIM = 0.5  # of a query's aim must be gone too where bounds are pooled: a half is left to draw it anew
 TIME_FOR = 1.5  # likely times left before the deadline from which drawing a query anew can still end in time
 NOTED, NOTED_AFTER = 0.02, 0.5  # share done, and likely times out, from which notes tell when one will end
-MISSED = 6.0  # answers due and not come: by chance that many go missing about once in 400 silences
+MISSED, MISSED_ONE = 6.0, 3.0  # answers due and not come; most that one query counts: it may just be long
+NOTES_LATE = 2.5  # times as long as notes take to come, without any word: two have gone missing
 ERROR_SHARE = 0.3  # smoothed share of errors from which an engine is set aside
-ERROR_STEP = 0.2  # least weight of one answer in that share: three errors in a row set an engine aside
-ERROR_ONE = 0.5  # most: where an engine answers this gateway seldom, one error sets it aside
+ERROR_STEP, ERROR_ONE = 0.2, 0.5  # least and most weight of an answer: three errors rest an engine, or one
 ERROR_SPAN_US = 5_000_000  # one answer weighs as a part of all that come from its engine in so long
 ERRORS_MOST = 3  # engines that answer a request with an error: it is the request's own, and is tried no more
 ASIDE_US, ASIDE_MOST_US = 500_000, 4_000_000  # first and longest rest before a trial; doubles in between
 ASIDE_PART, ASIDE_MANY = 0.5, 0.75  # of the engines set aside, by few or many gateways: then they serve last
 COLD_MARGIN = 0.5  # of this gateway's part of a cold engine's budget is used: costs are guesses
 BUSY_SHARE = 0.85  # capacity is counted at cores this busy (rule 4)
-TAKE_BACKS = 0.01  # for each request taken: enough to see whether drawing anew pays here
-TAKE_BACKS_SAVED = 12.0  # most that quiet times save up: about what one lost engine holds of long queries
+TAKE_BACKS, TAKE_BACKS_SAVED = 0.01, 12.0  # for each request, to see whether it pays; most saved up
 SPARE_BUDGET = 0.5  # of the retry budget may go to queries taken back; the rest is for broken attempts
 STEP, WATCH, DEADLINES = 0, 1, 2  # timer tokens; from the last on a request's number is added
 STEP_US = 50_000  # how often waiting requests and silent engines are looked at
@@ -63,7 +60,7 @@
 
 
 def mix(engine: int, tables: int) -> int:
-    """A fixed mix of 64 bits, the same at every gateway: the place of an engine in a group's order."""
+    """The same at every gateway: the place of an engine in a group's order."""
     x = (engine * 0x9E3779B97F4A7C15 ^ (tables + 1) * 0xC2B2AE3D27D4EB4F) & MASK
     x = (x ^ x >> 31) * 0xBF58476D1CE4E5B9 & MASK
     x = (x ^ x >> 29) * 0x94D049BB133111EB & MASK
@@ -147,8 +144,7 @@
         self.attempts: dict[tuple[int, int], tuple[Job, Attempt]] = {}
         self.restart(bound)
 
-    def restart(self, bound: float) -> None:
-        """A fresh process: what was learnt of the old one says nothing of it."""
+    def restart(self, bound: float) -> None:  # a fresh process: what was learnt of the old one is void
         self.bound, self.ratio, self.full, self.most = bound, -1.0, False, 0
         self.errors, self.heard, self.aside_until, self.aside_for = 0.0, 0, 0, 0
         self.broke_at = -STEP_US  # when a connection to it broke last
@@ -160,10 +156,9 @@
     """One gateway's decisions. `handle` is its only way in; the caller brings the clock and does the I/O."""
 
     def __init__(self, settings: i.Settings, seed: int) -> None:
-        self.settings, self.seed = settings, seed
+        self.settings, self.seed, self.hearsay = settings, seed, Hearsay(settings, seed)
         self.kinds = [Kind(spec) for spec in settings.classes]
         self.floor = max(spec.threads for spec in settings.classes)
-        self.smallest = min(spec.threads for spec in settings.classes)
         self.engines: dict[int, Engine] = {}
         self.busy: dict[int, Engine] = {}  # those with an attempt of this gateway out
         self.here: list[Engine] = []  # present: listed, and not draining or gone
@@ -190,7 +185,6 @@
         self.actions: list[i.Action] = []
 
     def handle(self, now_us: int, event: i.Event) -> list[i.Action]:
-        """The actions that one event calls for."""
         self.now, self.actions = max(self.now, now_us), []
         match event:
             case i.Request() if event.request not in self.jobs:
@@ -203,6 +197,9 @@
                 self.on_timer(event.token)
             case i.EngineList():
                 self.on_list(event)
+            case i.PeerMessage():
+                for number, load, at in self.hearsay.heard(self.now, event.data):
+                    self.report(self.engines[number], load, at)
             case i.ClientGone():
                 if (job := self.jobs.get(event.request)) is not None and not job.done:
                     self.close(job)
@@ -254,6 +251,7 @@
         self.ill = {e.entry.engine for e in self.here if e.aside_until}
         opening = OPEN * sum(e.cores for e in self.here) / self.settings.instances
         self.pooled = opening < self.floor * len(self.here)
+        self.hearsay.engines(self.engines, self.pooled)
         self.resize()
         self.orders.clear()
         self.dispatch(len(self.waiting))
@@ -289,6 +287,7 @@
         job = self.jobs[req.request] = Job(req, spec, self.now)
         if self.pooled:
             self.count(req.table_group)
+            self.actions += self.hearsay.tell(self.now)
         if self.settings.rules.budget_span_us is not None:
             self.taken.append(self.now)
         self.take_backs = min(TAKE_BACKS_SAVED, self.take_backs + TAKE_BACKS)
@@ -313,6 +312,8 @@
         fade = 0.5 ** ((self.now - self.asked_at) / HALF_US)
         self.asked, self.asked_at = self.asked * fade + 1.0, self.now
         count, at = self.drawn.get(group, (0.0, 0))
+        if len(self.drawn) >= GROUPS_MOST:  # Guard: clients may name ever new groups
+            self.drawn.clear()
         self.drawn[group] = (count * 0.5 ** ((self.now - at) / HALF_US) + 1.0, self.now)
 
     def over_share(self, req: i.Request) -> bool:
@@ -378,11 +379,13 @@
                 return None
             spill *= 1.0 + KEPT * self.ahead(job)  # the last room on an engine is kept for what is dense
             bound = min(OPEN, self.pool.bound / self.share() / self.cores)
-            self.most_load = spill * bound / self.query_threads
+            self.most_load = spill / POOL_SPILL * bound / self.query_threads
         order = self.orders.get(job.req.table_group)
         if order is None:
             group = job.req.table_group
             order = sorted(self.here, key=lambda e: (mix(e.entry.engine, group), e.entry.engine))
+            if len(self.orders) * len(order) >= PLACES_MOST:
+                self.orders.clear()
             self.orders[group] = order
         if not order:
             return None
@@ -460,9 +463,8 @@
     def settle(self) -> None:
         """Save up what the pooled bound left unused since the last time, or note what was used beyond it."""
         self.usual = max(k.spec.threads * k.time for k in self.kinds)
-        held = sum(k.heard * k.time for k in self.kinds)
-        threads = sum(k.heard * k.time * k.spec.threads for k in self.kinds)
-        self.query_threads = threads / held if held else 1.0
+        if held := sum(k.heard * k.time for k in self.kinds):
+            self.query_threads = sum(k.heard * k.time * k.spec.threads for k in self.kinds) / held
         spent = self.now - self.credit_at
         self.held += (1.0 - 0.5 ** (spent / HELD_US)) * (self.pool.used - self.held)
         free = (self.pool.bound - self.pool.used) * spent
@@ -470,10 +472,9 @@
         self.credit_at = self.now
 
     def has_room(self, engine: Engine, job: Job, aside: bool) -> bool:
-        if aside and engine.aside_until:
-            trial = job.spec.effect is i.Effect.SAFE and job.spec.threads <= self.smallest
-            if not trial or engine.attempts or self.now < engine.aside_until:
-                return False  # a trial is one short query that may be lost, once the rest is over
+        lost = job.spec.effect is not i.Effect.SAFE or engine.attempts or self.now < engine.aside_until
+        if aside and engine.aside_until and lost:
+            return False  # a trial is one query that may be lost, once the rest is over
         if job.spec.holds_tables or job.spec.waits_for_loads:
             if engine.blocked.get(job.req.table_group, 0) > self.now:
                 return False
@@ -694,14 +695,15 @@
         bad = (a.engine for a in job.attempts if a.result in (i.Result.ERROR, i.Result.RESET))
         return next((engine for engine in bad if engine is not attempt.engine), None)
 
-    def report(self, engine: Engine, load: float) -> None:
+    def report(self, engine: Engine, load: float, at: int = 0) -> None:
         """A load a core, as told or as would explain an attempt that never came back; below 0: forget it."""
         total = self.level * self.heard - engine.counted
         most = RATIO_CAP * self.level if self.heard else load
         self.heard += (load >= 0) - (engine.reported >= 0)
         engine.counted = max(0.0, min(load, most))
         self.level = max(0.0, total + engine.counted) / max(1, self.heard)
-        engine.reported, engine.reported_at = load, self.now
+        engine.reported, engine.reported_at = load, at or self.now
+        self.hearsay.keep(engine.entry.engine, load, engine.reported_at)
 
     def set_aside(self, engine: Engine, least: int = ASIDE_US) -> None:
         """Rest an engine before a trial; each trial that fails doubles the rest."""
@@ -720,8 +722,7 @@
         job.wait_until = self.now + int(WAIT_SHARE * max(0.0, pays - self.now - self.likely(job)))
         self.try_or_wait(job)
 
-    def may_refuse(self, job: Job) -> bool:
-        """Whether the client may be told that trying again is harmless."""
+    def may_refuse(self, job: Job) -> bool:  # whether a further try is harmless
         ran = job.may_have_run()
         if not ran or job.spec.effect is i.Effect.SAFE:
             return True
@@ -741,7 +742,6 @@
         self.close(job)
 
     def close(self, job: Job) -> None:
-        """The request is over: stop what still runs for it and let go of it."""
         job.done = True
         attempt = job.out()
         if attempt is not None and not attempt.streaming:
@@ -798,10 +798,10 @@
         for engine in list(self.busy.values()):
             held = [(j, a, self.likely(j), self.now - a.sent) for j, a in engine.attempts.values()]
             quiet = self.now - engine.heard
-            due = sum(min(spent, quiet) / likely for _, _, likely, spent in held)
+            due = sum(min(MISSED_ONE, min(spent, quiet) / likely) for _, _, likely, spent in held)
             silent = due >= MISSED and quiet >= OVERDUE * min(likely for _, _, likely, _ in held)
-            silent = silent and self.now >= engine.aside_until
-            if silent:
+            silent = silent or quiet > NOTES_LATE * (self.settings.progress_us or math.inf)
+            if silent := silent and self.now >= engine.aside_until:
                 self.set_aside(engine)
             for job, attempt, likely, late in held:
                 if attempt.share > NOTED and late > NOTED_AFTER * likely:
--- a/lilacfront/server.py
+++ b/lilacfront/server.py
@@ -19,6 +19,7 @@
 from lilacfront.membership.changelog import ChangeLog
 from lilacfront.membership.etcd import EtcdWatch
 from lilacfront.membership.fleet import Fleet, Roster
+from lilacfront.peers import PeerLink
 from lilacfront.sched import Loop, Task
 from lilacfront.teams.cost import Costs
 from lilacfront.teams.scheduler import Scheduler
@@ -98,6 +99,10 @@
                 self.healthy,
             )
             self.listeners.append(clickhouse.listen(http.listen, most))
+        self.peers: PeerLink | None = None
+        if settings.limits.tell and config.peer_listen is not None:
+            self.peers = PeerLink(self.loop, config.peer_listen, config.peers, self.facade.heard_peer)
+            self.facade.on_tell = self.peers.send
         self.loop.spawn(self.facade.run_timers)
         self.loop.spawn(self._tidy)
         self.changelog: ChangeLog | None = None
@@ -173,6 +178,8 @@
     def close(self) -> None:
         for listener in self.listeners:
             listener.close()
+        if self.peers is not None:
+            self.peers.close()
         self.loop.close()
 
     def run(self) -> None:
--- a/lilacfront/wire.py
+++ b/lilacfront/wire.py
@@ -389,6 +389,7 @@
         cross_zone_price=float(penalties.get("cross-zone", 0.0)),
         late_fail_price=float(penalties.get("late-fail", 0.0)),
         waste_price=float(penalties.get("waste", 0.0)),
+        peer_price=float(penalties.get("peer", 0.0)),
         tick_us=int(raw.get("tick", 0)),
     )
     return settings, tuple((raw.get("stats") or {}).get("fields") or ())
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -311,3 +311,32 @@
         for engine in gate.busy.values():
             engine.heard = late  # it is not silent
         assert bool([a for a in gate.handle(late, i.Timer(0)) if isinstance(a, i.Cancel)]) is back
+
+
+def test_one_query_that_is_long_is_no_silent_engine_but_notes_that_go_missing_are():
+    for progress, after, silent in ((0, 3 * S, False), (2 * S, 3 * S, False), (2 * S, 5_100_000, True)):
+        gate = fleet(200, entries(10), SHORT, replace(LONG, effect=i.Effect.UNSAFE), progress_us=progress)[0]
+        gate.kinds[1].time = 300_000.0
+        (send,) = sends(ask(gate, 100 * S, 1, cls=1, left_us=20 * S))
+        gate.step_at = 100 * S + after
+        gate.handle(100 * S + after, i.Timer(0))
+        assert (send.engine in gate.ill) is silent
+
+
+def test_any_read_may_be_the_trial_of_an_engine_that_rested_and_a_load_may_not():
+    load = replace(LONG, effect=i.Effect.UNSAFE)
+    gate = fleet(200, entries(8), SHORT, LONG, load)[0]
+    gate.set_aside(gate.engines[1])
+    for cls, may in ((0, True), (1, True), (2, False)):
+        ask(gate, 102 * S, cls, cls=cls, left_us=20 * S)
+        rested = gate.engines[1]
+        assert gate.has_room(rested, gate.jobs[cls], True) is (may and not rested.attempts)
+
+
+def test_groups_that_clients_make_up_are_not_remembered_for_ever():
+    gate = fleet(200, entries(100), SHORT)[0]
+    for n in range(5000):
+        now = 100 * S + n
+        for send in sends(ask(gate, now, n, table_group=n)):
+            ended(gate, now, send, i.Result.OK)
+    assert len(gate.drawn) <= 4096 and len(gate.orders) * 100 <= 1 << 18
