--- a/lilacfront/rules.py
+++ b/lilacfront/rules.py
@@ -29,16 +29,14 @@
 REACH_LEAST, REACH_PART = 4, 6  # many gateways look at the first sixth of a group's order, four at least
 KEPT = 0.5  # part more to which the densest may fill an engine, and others by their share ahead
 POOL_LEAST = 2.2  # threads a core, over all gateways, of the least pooled bound: fewer leave cores idle
-HELD_US = 2_000_000  # in which half of what this gateway held is forgotten
 CREDIT = 1.0  # largest usual queries whose thread time an unused pooled bound saves up: one may then start
 GROUPS_MOST, PLACES_MOST = 4096, 1 << 18  # groups counted; places in all orders kept: a few megabytes
-HALF_US = 10_000_000  # in which old requests lose half their say in how wide a table group spreads
+HALF_US, HELD_US = 10_000_000, 2_000_000  # half of what groups were asked, or was held here, is forgotten
 AHEAD = 8.0  # largest usual queries by which the densest may overdraw a pooled bound, at the cost of others
 STALE = 3.0  # times as long as it takes to ask as often as there are engines, a report is trusted ever less
 TRIES = 8  # waiting requests without an engine after which an outcome's pass ends (saves time only)
 SHARE_SAVED, SHARE_LEAST = 2.0, 3.0  # a quiet tenant's savings: seconds of its allowance; requests at least
 OVERDUE = 4.0  # times its likely time: chance and sharing seldom stretch a query so far, bad plans do
-OVERDUE_AIM = 0.5  # of a query's aim must be gone too where bounds are pooled: a half is left to draw it anew
 TIME_FOR = 1.5  # likely times left before the deadline from which drawing a query anew can still end in time
 NOTED, NOTED_AFTER = 0.02, 0.5  # share done, and likely times out, from which notes tell when one will end
 MISSED, MISSED_ONE = 6.0, 3.0  # answers due and not come; most that one query counts: it may just be long
@@ -49,8 +47,7 @@
 ERRORS_MOST = 3  # engines that answer a request with an error: it is the request's own, and is tried no more
 ASIDE_US, ASIDE_MOST_US = 500_000, 4_000_000  # first and longest rest before a trial; doubles in between
 ASIDE_PART, ASIDE_MANY = 0.5, 0.75  # of the engines set aside, by few or many gateways: then they serve last
-COLD_MARGIN = 0.5  # of this gateway's part of a cold engine's budget is used: costs are guesses
-BUSY_SHARE = 0.85  # capacity is counted at cores this busy (rule 4)
+COLD_MARGIN, BUSY_SHARE = 0.5, 0.85  # used of a cold engine's budget; how busy cores count as full (rule 4)
 TAKE_BACKS, TAKE_BACKS_SAVED = 0.01, 12.0  # for each request, to see whether it pays; most saved up
 SPARE_BUDGET = 0.5  # of the retry budget may go to queries taken back; the rest is for broken attempts
 STEP, WATCH, DEADLINES = 0, 1, 2  # timer tokens; from the last on a request's number is added
@@ -82,7 +79,7 @@
     def __init__(self, req: i.Request, spec: i.ClassSpec, now: int) -> None:
         self.req, self.spec, self.deadline = req, spec, now + req.left_us
         self.attempts: list[Attempt] = []
-        self.aim = self.wait_until = self.least = 0  # least: time out before it may be drawn anew
+        self.aim = self.wait_until = 0
         self.done, self.density = False, 0.0  # density: worth for thread time
         self.redrawn = self.forgiven = False  # taken back for being overdue; its first failure is not blamed
 
@@ -159,6 +156,7 @@
         self.settings, self.seed, self.hearsay = settings, seed, Hearsay(settings, seed)
         self.kinds = [Kind(spec) for spec in settings.classes]
         self.floor = max(spec.threads for spec in settings.classes)
+        self.smallest = min(spec.threads for spec in settings.classes)
         self.engines: dict[int, Engine] = {}
         self.busy: dict[int, Engine] = {}  # those with an attempt of this gateway out
         self.here: list[Engine] = []  # present: listed, and not draining or gone
@@ -265,12 +263,12 @@
         self.cores, self.resized = cores, self.now
 
     def share(self) -> float:
-        """This gateway's part of what the engines can do: half as if all were alike, half as it is seen.
+        """This gateway's part of what the engines can do: a quarter as if all were alike, the rest as it is.
 
         Guard: some gateways see several times the mean, and some are dead. Of all threads, as told by the
-        engines' reports, its own are its part; the first half lets one begin that holds none."""
+        engines' reports, its own are its part; the first quarter lets one begin that holds none."""
         alike, threads = 1.0 / self.settings.instances, self.level * self.query_threads * self.cores
-        return (alike + min(1.0, self.held / threads)) / 2 if threads > 0 else alike
+        return (alike + 3.0 * min(1.0, self.held / threads)) / 4.0 if threads > 0 else alike
 
     def warmth(self, engine: Engine) -> float:
         """What part of its capacity an engine has: the unseen curve is taken as slow at first (a square)."""
@@ -294,7 +292,6 @@
         if spec.in_order and req.key:
             self.keys.setdefault(req.key, deque()).append(job)
         job.aim = self.now + min(req.left_us, int(self.aim(job, req.work_us)))
-        job.least = int(OVERDUE_AIM * (job.aim - self.now)) if self.pooled else 0
         job.wait_until = self.now + int(WAIT_SHARE * max(0.0, job.aim - self.now - self.likely(job)))
         self.actions.append(i.SetTimer(job.deadline, DEADLINES + req.request))
         if req.work_us is not None and req.work_us / spec.threads > req.left_us:
@@ -472,9 +469,9 @@
         self.credit_at = self.now
 
     def has_room(self, engine: Engine, job: Job, aside: bool) -> bool:
-        lost = job.spec.effect is not i.Effect.SAFE or engine.attempts or self.now < engine.aside_until
-        if aside and engine.aside_until and lost:
-            return False  # a trial is one query that may be lost, once the rest is over
+        trial = job.spec.effect is i.Effect.SAFE and job.spec.threads <= self.smallest
+        if aside and engine.aside_until and (not trial or engine.attempts or self.now < engine.aside_until):
+            return False  # a trial is one short query that may be lost, once the rest is over
         if job.spec.holds_tables or job.spec.waits_for_loads:
             if engine.blocked.get(job.req.table_group, 0) > self.now:
                 return False
@@ -494,8 +491,7 @@
     # ---- the life of an attempt ---------------------------------------------------------------------
     def may_send(self, job: Job, engine: Engine) -> bool:
         """The only gate of sends: every rule on sending is checked here, for first and further attempts."""
-        spec, limits = job.spec, self.settings.limits
-        entry = engine.entry
+        spec, limits, entry = job.spec, self.settings.limits, engine.entry
         if job.done or job.out() is not None or self.now >= job.deadline or engine.leaving:
             return False
         if spec.only_zones is not None and entry.zone not in spec.only_zones:
@@ -794,7 +790,8 @@
         It could hurt a crowded engine, so it must also last well past the shortest likely time.
         Guard: an attempt far past its likely time, or bound to be by its notes (bad plan, stuck query):
         drawn anew, once. It could hurt when all are slow; so requests taken ration it, and only one that
-        then ends in time earns back what it took."""
+        then ends in time earns back what it took. Drawn anew by hundreds (pooled), what is long crowds out
+        what could be in time."""
         for engine in list(self.busy.values()):
             held = [(j, a, self.likely(j), self.now - a.sent) for j, a in engine.attempts.values()]
             quiet = self.now - engine.heard
@@ -808,9 +805,9 @@
                     late = int((attempt.note_at - attempt.sent) * (1.0 / attempt.share - 1.0))
                 if silent:
                     self.take_back(job, attempt)
-                elif self.pooled and self.now + likely > job.aim:
-                    pass  # Guard: what is late, drawn anew by all, crowds out what could be in time
-                elif not job.redrawn and self.take_backs >= 1.0 and late > max(OVERDUE * likely, job.least):
+                elif (
+                    not self.pooled and not job.redrawn and self.take_backs >= 1.0 and late > OVERDUE * likely
+                ):
                     job.redrawn = self.take_back(job, attempt)
                     self.take_backs -= job.redrawn
 
--- a/lilacfront/warehouses/resp.py
+++ b/lilacfront/warehouses/resp.py
@@ -309,11 +309,11 @@
             if connection.stream is not None and not connection.load and not connection.stream.alive():
                 connection.close()
         pool = self._pools.get(engine.number, [])
-        fit = [
-            c
-            for c in pool
-            if c.engine == engine and c.load < self.streams and call not in c.undone and call not in c.open
-        ]
+        if any(call in c.undone for c in pool):
+            # Guard: on another connection the next attempt could overtake the word that gives up the last,
+            # and the warehouse would hold both. On the same one, their answers could not be told apart.
+            return None
+        fit = [c for c in pool if c.engine == engine and c.load < self.streams and call not in c.open]
         # Guard: an answer that can't be read, or a reset, ends all that is open on its connection. So
         # attempts share one only where there would be too many. The one used last goes first: others may end.
         free = [c for c in fit if not c.load]
