Ping is good only once the log is caught up with; many gateways take their own zone's engines first

Ping now waits for the log's word or 0.2 s after it was asked, 1 s without a log.

In pick, where crossing has a price and bounds are pooled, the own zone's engines now come first in a group's order.

--- a/lilacfront/membership/changelog.py
+++ b/lilacfront/membership/changelog.py
@@ -8,12 +8,14 @@
 
 from lilacfront.logs import Log
 from lilacfront.membership.fleet import Fleet, LooseFleet, read_loosely
-from lilacfront.sched import Loop, Stream, Task
+from lilacfront.sched import Loop, Stream, Task, Wait
 
 log = Log(__name__)
 CONNECT_S = 0.5
 SILENT_S = 1.8  # a whole line comes every second; a log without one for longer has lost this connection
 AGAIN_S = 0.1  # between two connections
+MISSED_S = 0.2  # within this of asking, what was missed has begun to come
+WITHOUT_S = 1.0  # after this from the start a log that can't be reached is waited for no longer
 LINE_MOST = 4 << 20
 
 
@@ -52,6 +54,13 @@
     ) -> None:
         self.loop, self.address, self.seq, self.heard = loop, address, seq, heard
         self._task: Task | None = None
+        # Guard: what the log told while this program started counts as told. Until that has had its time to
+        # come, a request could be sent to a warehouse that drains.
+        self.caught_up = False
+        loop.at(loop.now + WITHOUT_S, self._go_without)
+
+    def _go_without(self) -> None:
+        self.caught_up = True
 
     def move(self, address: tuple[str, int]) -> None:
         """Follow the log at this address from now on, from the last event taken."""
@@ -86,8 +95,12 @@
         """
         stream.write(b"since %d\n" % self.seq)
         rest, until = b"", self.loop.now + SILENT_S
+        missed_until = self.loop.now + MISSED_S
         while True:
-            got = stream.read(task, until)
+            got = stream.read(task, until if self.caught_up else min(until, missed_until))
+            if got is Wait.TIMED_OUT and not self.caught_up:
+                self.caught_up = True
+                continue
             if not isinstance(got, bytes) or not got:
                 return
             *lines, rest = (rest + got).split(b"\n")
@@ -99,6 +112,7 @@
             for line in filter(None, (one.strip() for one in lines)):
                 if not self._take(self._decode(line)):
                     return
+                self.caught_up = self.caught_up or line.isdigit()
 
     @staticmethod
     def _decode(line: bytes) -> Event | int:
--- a/lilacfront/rules.py
+++ b/lilacfront/rules.py
@@ -162,7 +162,7 @@
         self.here: list[Engine] = []  # present: listed, and not draining or gone
         self.cold: list[Engine] = []  # of those, not warm yet
         self.ill: set[int] = set()  # of those, set aside
-        self.cores, self.resized = 0.0, 0  # of those present; when they were counted
+        self.cores, self.resized, self.near = 0.0, 0, 0  # of those present; when counted; how many are near
         self.pool, self.pooled = Bound(0.0, 1.0), False
         self.credit, self.credit_at, self.usual = math.inf, 0, 0.0  # thread time; of the largest query
         self.query_threads, self.held = 1.0, 0.0  # threads of a query, on the mean; in hand, smoothed
@@ -250,6 +250,7 @@
         opening = OPEN * sum(e.cores for e in self.here) / self.settings.instances
         self.pooled = opening < self.floor * len(self.here)
         self.hearsay.engines(self.engines, self.pooled)
+        self.near = sum(not self.is_far(e) for e in self.here) if self.pooled else 0
         self.resize()
         self.orders.clear()
         self.dispatch(len(self.waiting))
@@ -377,22 +378,23 @@
             spill *= 1.0 + KEPT * self.ahead(job)  # the last room on an engine is kept for what is dense
             bound = min(OPEN, self.pool.bound / self.share() / self.cores)
             self.most_load = spill / POOL_SPILL * bound / self.query_threads
-        order = self.orders.get(job.req.table_group)
-        if order is None:
-            group = job.req.table_group
+        group = job.req.table_group
+        if (order := self.orders.get(group)) is None:
             order = sorted(self.here, key=lambda e: (mix(e.entry.engine, group), e.entry.engine))
+            order.sort(key=lambda e: self.pooled and self.is_far(e))
             if len(self.orders) * len(order) >= PLACES_MOST:
                 self.orders.clear()
             self.orders[group] = order
         if not order:
             return None
-        far = self.loads_apart and job.spec.holds_tables
-        start = self.start(job.req.table_group, len(order)) if self.pooled else 0
-        places = chain(range(start, len(order)), range(start))
-        walk: Iterator[Engine] = (order[-1 - n] if far else order[n] for n in places)
+        near, step = self.near or len(order), -1 if self.loads_apart and job.spec.holds_tables else 1
+        start = self.start(group, near) if self.pooled else 0
+        mine, others = order[:near][::step], order[near:][::step]
+        walk: Iterator[Engine] = chain(mine[start:], mine[:start])
         if self.pooled:  # Guard: one engine with room, where others have none, would draw from everybody
-            up = (e for e in walk if self.now >= e.aside_until)
-            walk = chain(self.cold, islice(up, max(REACH_LEAST, len(order) // REACH_PART)))
+            reach = [max(REACH_LEAST, len(part) // REACH_PART) for part in (mine, others)]
+            up = [(e for e in part if self.now >= e.aside_until) for part in (walk, others)]
+            walk = chain(self.cold, *(islice(part, most) for part, most in zip(up, reach, strict=True)))
         room: Iterator[Engine] = (e for e in walk if self.has_room(e, job, True) and self.may_send(job, e))
         if len(self.ill) > (ASIDE_MANY if self.pooled else ASIDE_PART) * len(order):
             rests = (e for e in order if e.aside_until and self.has_room(e, job, False))
@@ -405,10 +407,9 @@
             return None
         if job.attempts and first[0] not in tried:
             return first[0]
-        # Departure: an engine of another zone counts as fuller only where crossing has a price; the order,
-        # and so what is warm where, stays the same.
-        far_zone = NEAR * mean if self.settings.cross_zone_price > 0 else 0.0
-        best = min(first, key=lambda e: self.load(e) + far_zone * (e.entry.zone != self.settings.zone))
+        # Departure: where crossing has a price an engine of another zone counts as fuller, and for many
+        # gateways comes last in the order: each zone has its first engines for a group, few to connect to.
+        best = min(first, key=lambda e: self.load(e) + NEAR * mean * self.is_far(e))
         if self.pooled and first[0] in self.cold:  # its turn: left to chance it would lapse
             return first[0]
         if self.load(best) <= spill * mean:
@@ -417,6 +418,9 @@
             return next((e for e in room if self.load(e) <= mean), best)
         return min(chain(first, room), key=self.load)
 
+    def is_far(self, engine: Engine) -> bool:
+        return self.settings.cross_zone_price > 0 and engine.entry.zone != self.settings.zone
+
     def start(self, group: int, engines: int) -> int:
         """Where in a group's order this gateway begins. Departure (many gateways): own threads are too few to
         show that a group draws more than two engines can carry, so they spread by their own numbers over
--- a/lilacfront/server.py
+++ b/lilacfront/server.py
@@ -114,7 +114,8 @@
             self.loop.spawn(self.changelog.run)
 
     def healthy(self) -> bool:
-        return self.leaving_at == math.inf
+        followed = self.changelog is None or self.changelog.caught_up
+        return self.leaving_at == math.inf and followed
 
     def heard(self, fleet: Fleet) -> None:
         news, addresses = self.roster.news(fleet)
--- a/tests/play.py
+++ b/tests/play.py
@@ -130,7 +130,13 @@
     """One program under test and the actors round it."""
 
     def __init__(
-        self, dialect: Dialect, split: bool = False, engines: int = 2, teams: str = "", **changes: Any
+        self,
+        dialect: Dialect,
+        split: bool = False,
+        engines: int = 2,
+        teams: str = "",
+        fresh: bool = False,
+        **changes: Any,
     ) -> None:
         self.teams = teams
         self.clock, self.dialect, self.split = Clock(), dialect, split
@@ -152,6 +158,8 @@
             return configuration.parse(self.file, {}, gateway, self.teams.encode())
 
         self.server = Server(read(), Loop(self.clock), read)
+        if self.server.changelog is not None and not fresh:
+            self.server.changelog.caught_up = True  # the exchanges begin once it serves
         self.turn()
 
     def entry(self, name: str, state: str = "ready") -> dict[str, Any]:
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -379,3 +379,32 @@
         assert connection.stream is None and not warehouses._pools and warehouses._held == 0
         listener.accept()[0].close()
         assert [fd for fd in loop._watched if fd != loop._wake_in.fileno()] == []
+
+
+@pytest.mark.parametrize(
+    ("said", "after", "good"),
+    [
+        (b"", 0.1, False),
+        (b"", 0.3, True),  # nothing was missed
+        (b"1\n", 0.01, True),  # nor here, as the log itself says
+        (b'{"seq":2,"fleet":{"instances":[]}}\n', 0.01, False),  # more may follow
+        (None, 0.9, False),
+        (None, 1.1, True),  # a log that can't be reached is not waited for for ever
+    ],
+)
+def test_ping_is_good_once_what_the_log_told_during_the_start_has_come(
+    said: bytes | None, after: float, good: bool
+) -> None:
+    stage = Stage(ThriftResp(), fresh=True, **({"changelog": "127.0.0.1:1"} if said is None else {}))
+    try:
+        log = stage.actors["L"]
+        for _ in range(20):
+            stage.turn()
+        assert not stage.server.healthy()
+        if said is not None:
+            assert log.conn is not None and log.got == b"since 1\n"
+            log.conn.sendall(said)
+        stage.wait(after)
+        assert stage.server.healthy() is good
+    finally:
+        stage.close()
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -314,3 +314,47 @@
         for send in sends(ask(gate, now, n, table_group=n)):
             ended(gate, now, send, i.Result.OK)
     assert len(gate.drawn) <= 4096 and len(gate.orders) * 100 <= 1 << 18
+
+
+def test_many_gateways_stay_in_their_zone_while_it_has_room_and_leave_it_when_it_has_not():
+    zones = tuple(replace(one, zone=one.engine % 4) for one in entries(40))
+    for price, count, alone in ((0.04, 200, True), (0.0, 200, False), (0.04, 3, False)):
+        gate = fleet(count, zones, SHORT, cross_zone_price=price, zone=1)[0]
+        met = set()
+        for n in range(40):
+            now = 100 * S + n * 300_000
+            for send in sends(ask(gate, now, n, table_group=n)):
+                answer(gate, now + 60_000, send, 6.0)
+                met.add(send.engine % 4)
+        assert (met == {1}) is alone
+    gate = fleet(200, zones, SHORT, cross_zone_price=0.04, zone=1)[0]
+    for engine in gate.here:  # its own zone is full: others with room take over
+        gate.report(engine, 9.0 if engine.entry.zone == 1 else 0.5)
+    assert {s.engine % 4 for n in range(20) for s in sends(ask(gate, 101 * S, n, table_group=n))} <= {0, 2, 3}
+    gate = fleet(200, zones, SHORT, cross_zone_price=0.04, zone=1)[0]
+    for engine in gate.here:  # it is lost
+        if engine.entry.zone == 1:
+            gate.set_aside(engine, 60 * S)
+    assert {s.engine % 4 for n in range(5) for s in sends(ask(gate, 101 * S, n, table_group=n))} <= {0, 2, 3}
+
+
+def test_a_zone_without_engines_or_without_a_name_in_the_settings_is_served_by_all_others():
+    zones = tuple(replace(one, zone=7 + one.engine % 3) for one in entries(30))
+    gate = fleet(200, zones, SHORT, cross_zone_price=0.04, zone=1)[0]
+    chosen = set()
+    for now in range(101 * S, 113 * S, S // 2):
+        for send in sends(ask(gate, now, now, table_group=now)):
+            chosen.add(send.engine % 3)
+            answer(gate, now + 1000, send, 6.0)
+    assert chosen == {0, 1, 2}
+
+
+def test_loads_keep_to_the_far_end_of_their_own_zone():
+    load = replace(LONG, holds_tables=True, waits_for_loads=True, effect=i.Effect.UNSAFE)
+    zones = tuple(replace(one, zone=one.engine % 4) for one in entries(40))
+    gate = fleet(200, zones, SHORT, load, cross_zone_price=0.04, zone=1)[0]
+    gate.asked, gate.asked_at = 100.0, 101 * S  # so that this group is no hot one
+    read = sends(ask(gate, 101 * S, 1, table_group=5))[0].engine
+    loaded = sends(ask(gate, 101 * S, 2, cls=1, left_us=20 * S, table_group=5))[0].engine
+    mine = [e.entry.engine for e in gate.orders[5] if e.entry.zone == 1]
+    assert mine.index(read) < 3 and mine.index(loaded) >= len(mine) - 3
