--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -408,3 +408,16 @@
         assert stage.server.healthy() is good
     finally:
         stage.close()
+
+
+def test_the_logs_of_a_fleet_are_counted(tmp_path: Path) -> None:
+    line = "1.5 DEBUG lilacfront.core.facade: attempt request={} cls=0 group=5 engine=e:1 began={} ended={} ending={}\n"
+    (tmp_path / "n0.log").write_text(
+        "1.0 DEBUG lilacfront.core.facade: request request=1 call=ab cls=0 at=10.0 until=14.0\ncut sho\n"
+        + line.format(1, 10.0, 12.0, '"given up"')
+        + line.format(2, 11.0, 11.5, "served")
+        + "2.0 DEBUG lilacfront.core.facade: answer request=1 cls=0 at=12.0 final=Refused(250)\n"
+    )
+    told = CliRunner().invoke(main, ["lab", "count", str(tmp_path)]).output
+    assert "class 0 refused 1" in told and "given up 1, 2 s out" in told
+    assert "given up: class 0 1, their engines answered others" in told and "second 2: refused 1" in told
