--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -411,7 +411,8 @@
 
 
 def test_the_logs_of_a_fleet_are_counted(tmp_path: Path) -> None:
-    line = "1.5 DEBUG lilacfront.core.facade: attempt request={} cls=0 group=5 engine=e:1 began={} ended={} ending={}\n"
+    facade = "1.5 DEBUG lilacfront.core.facade: "
+    line = facade + "attempt request={} cls=0 group=5 engine=e:1 began={} ended={} ending={}\n"
     (tmp_path / "n0.log").write_text(
         "1.0 DEBUG lilacfront.core.facade: request request=1 call=ab cls=0 at=10.0 until=14.0\ncut sho\n"
         + line.format(1, 10.0, 12.0, '"given up"')
