Package peers: the count by which shares are divided, and doubts of engines, both off

Tier divides shares and gives turns on cold engines, Doubts holds what was found at first hand and what enough members say; the module asks both. Nothing fills them yet, so decisions are as before.

--- /dev/null
+++ b/lilacfront/peers/tier.py
@@ -0,0 +1,84 @@
+"""By how many front ends a share is divided: what is made of the count of the living. No I/O.
+
+Who lives can't be told from who is cut off. So whatever the views are, in a cut into any parts, what all
+front ends take together stays within what the engines bear: nobody counts fewer than LEAST_PART of all that
+have not said that they leave, and of a cold engine's budget no more than that part is used (`COLD_MARGIN` in
+`rules.py`). With N members and parts of m1, m2, ... that each count all others dead, the sum of their shares
+is m1 / max(m1, N / 2) + m2 / max(m2, N / 2) + ... <= N / (N / 2) = 2, and 2 x 0.5 = 1 of what they bear.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable
+from itertools import accumulate
+
+LEAST_PART = 0.5  # of all members, that are counted at the least; not under COLD_MARGIN in rules.py
+GROW_S = 5.0  # in which the count falls by half at most: shares grow slowly and shrink at once
+LIARS = 0.2  # of those that tell their counts; the highest of them are left out
+
+
+class Tier:
+    """`instances` front ends, this one being number `slot`. Without word of the others all are counted."""
+
+    def __init__(self, instances: int, slot: int) -> None:
+        self.instances, self.slot = max(1, instances), slot
+        self.uses_turns = self.uses_bound = self.uses_allowances = False
+        self.counted = float(self.instances)
+        self._at = -math.inf
+        self._lost = [0] * (self.instances + 1)  # members before each that are dead or gone
+
+    @property
+    def count(self) -> int:
+        """What a share would be divided by."""
+        return math.ceil(self.counted - 1e-9)
+
+    @property
+    def of_turns(self) -> int:
+        """What shares and turns on cold engines are divided by."""
+        return self.count if self.uses_turns else self.instances
+
+    @property
+    def of_bound(self) -> int:
+        """What the bound on threads at all engines is divided by."""
+        return self.count if self.uses_bound else self.instances
+
+    @property
+    def of_allowances(self) -> int:
+        """What tenants' allowances are divided by."""
+        return self.count if self.uses_allowances else self.instances
+
+    def update(
+        self, now: float, lost: Iterable[bool], left: int, told: Iterable[int] = (), sure: bool = True
+    ) -> None:
+        """`lost`: of each member, whether it is held dead or gone; `left`: how many of them said so.
+
+        `told`: the counts that others use. `sure`: False while this one may be cut off itself. Seconds.
+        """
+        self._lost = [0, *accumulate(int(one) for one in list(lost)[: self.instances])]
+        self._lost += [self._lost[-1]] * (self.instances + 1 - len(self._lost))
+        remain = max(1, self.instances - min(left, self.instances))
+        aim = max(self.instances - self._lost[-1], math.ceil(LEAST_PART * remain), 1)
+        if not sure:
+            aim = remain
+        # Guard: a few that lie, or know less, must not hold the count up for good.
+        others = sorted(min(one, remain) for one in told)
+        if others:
+            aim = max(aim, others[len(others) - int(LIARS * len(others)) - 1])
+        fade = 0.5 ** (max(0.0, now - self._at) / GROW_S)
+        self.counted = float(aim) if aim >= self.counted else max(float(aim), self.counted * fade)
+        self._at = now
+
+    def turn(self, start: int) -> int:
+        """This front end's turn, from 0, in the order that begins with number -`start`.
+
+        Places of the lost are taken by those behind them, as far as the count in use goes.
+        """
+        place = (self.slot + start) % self.instances
+        if not self.uses_turns or place == 0:
+            return place
+        first = (self.slot - place) % self.instances
+        lost = self._lost[self.slot] - self._lost[first]
+        if first > self.slot:
+            lost += self._lost[-1]
+        return max(place - lost, math.ceil(place * self.count / self.instances))
--- a/lilacfront/rules.py
+++ b/lilacfront/rules.py
@@ -9,7 +9,9 @@
 from itertools import chain, islice
 
 from lilacfront import interface as i
+from lilacfront.peers.doubts import Doubts, Why
 from lilacfront.peers.reports import Hearsay
+from lilacfront.peers.tier import Tier
 
 # ---- constants, each with its reason ------------------------------------------------------------
 IDLE_BUSY = 0.7  # cores less busy than this are not what made a query late
@@ -154,6 +156,7 @@
 
     def __init__(self, settings: i.Settings, seed: int) -> None:
         self.settings, self.seed, self.hearsay = settings, seed, Hearsay(settings, seed)
+        self.tier, self.doubts = Tier(settings.instances, settings.slot), Doubts()
         self.kinds = [Kind(spec) for spec in settings.classes]
         self.floor = max(spec.threads for spec in settings.classes)
         self.smallest = min(spec.threads for spec in settings.classes)
@@ -222,7 +225,7 @@
             engine = self.engines.get(entry.engine)
             share = self.settings.rules.cold_share if self.is_cold(entry) else 1.0
             cores = self.settings.kind_cores[entry.kind]
-            bound = max(self.floor, OPEN * cores / self.settings.instances * share)
+            bound = max(self.floor, OPEN * cores / self.tier.of_bound * share)
             if engine is None:
                 if entry.condition is i.Condition.GONE:
                     continue
@@ -250,6 +253,7 @@
         opening = OPEN * sum(e.cores for e in self.here) / self.settings.instances
         self.pooled = opening < self.floor * len(self.here)
         self.hearsay.engines(self.engines, self.pooled)
+        self.doubts.engines({n: e.entry.zone for n, e in self.engines.items()})
         self.near = sum(not self.is_far(e) for e in self.here) if self.pooled else 0
         self.resize()
         self.orders.clear()
@@ -265,10 +269,9 @@
 
     def share(self) -> float:
         """This gateway's part of what the engines can do: a quarter as if all were alike, the rest as it is.
-
         Guard: some gateways see several times the mean, and some are dead. Of all threads, as told by the
         engines' reports, its own are its part; the first quarter lets one begin that holds none."""
-        alike, threads = 1.0 / self.settings.instances, self.level * self.query_threads * self.cores
+        alike, threads = 1.0 / self.tier.of_bound, self.level * self.query_threads * self.cores
         return (alike + 3.0 * min(1.0, self.held / threads)) / 4.0 if threads > 0 else alike
 
     def warmth(self, engine: Engine) -> float:
@@ -319,7 +322,7 @@
         then waits for nothing; what fits is served: its traffic may just come through few gateways."""
         if req.tenant >= len(self.tokens):
             return False
-        rate = self.settings.tenants[req.tenant].allowance_per_s / self.settings.instances
+        rate = self.settings.tenants[req.tenant].allowance_per_s / self.tier.of_allowances
         tokens, at = self.tokens[req.tenant]
         tokens = min(max(SHARE_SAVED * rate, SHARE_LEAST), tokens + rate * (self.now - at) / 1e6)
         tokens = tokens if req.is_repeat else max(-1.0, tokens - 1.0)
@@ -340,8 +343,7 @@
 
     def try_or_wait(self, job: Job) -> None:
         """Send at once where there is room; else wait while that can pay, as many as can soon start."""
-        engine = self.pick(job)
-        if engine is not None:
+        if (engine := self.pick(job)) is not None:
             self.send(job, engine)
         elif self.now >= job.wait_until:
             self.end(job)
@@ -367,7 +369,6 @@
 
     def pick(self, job: Job) -> Engine | None:
         """The engine rule: first two with room in the table group's order, the emptier a core; or spill.
-
         Departure: where classes stand still behind loads, loads walk the order from its far end. An engine
         that a request has failed on, or was taken back from, comes last for it."""
         mean, spill = self.pool.used / max(1.0, self.cores), SPILL
@@ -385,8 +386,6 @@
             if len(self.orders) * len(order) >= PLACES_MOST:
                 self.orders.clear()
             self.orders[group] = order
-        if not order:
-            return None
         near, step = self.near or len(order), -1 if self.loads_apart and job.spec.holds_tables else 1
         start = self.start(group, near) if self.pooled else 0
         mine, others = order[:near][::step], order[near:][::step]
@@ -402,8 +401,7 @@
         if job.attempts:  # what has failed, or taken too long, on one engine is tried on another first
             tried = [a.engine for a in job.attempts]
             room = (e for e in sorted(room, key=tried.count))
-        first = list(islice(room, 2))
-        if not first:
+        if not (first := list(islice(room, 2))):
             return None
         if job.attempts and first[0] not in tried:
             return first[0]
@@ -422,9 +420,8 @@
         return self.settings.cross_zone_price > 0 and engine.entry.zone != self.settings.zone
 
     def start(self, group: int, engines: int) -> int:
-        """Where in a group's order this gateway begins. Departure (many gateways): own threads are too few to
-        show that a group draws more than two engines can carry, so they spread by their own numbers over
-        twice the engines that its part calls for."""
+        """Where in a group's order this gateway begins. Departure (many gateways): own threads can't tell
+        that a group draws more than two engines carry: they spread over twice what its part calls for."""
         count, _ = self.drawn.get(group, (0.0, 0))
         part = (count - 1.0) / max(1.0, self.asked)
         wide = max(2, min(engines, round(2.0 * part * engines)))
@@ -476,12 +473,13 @@
         trial = job.spec.effect is i.Effect.SAFE and job.spec.threads <= self.smallest
         if aside and engine.aside_until and (not trial or engine.attempts or self.now < engine.aside_until):
             return False  # a trial is one short query that may be lost, once the rest is over
+        if aside and self.doubts.bars(engine.entry.engine, trial, self.now):
+            return False  # others say that they can't use it
         if job.spec.holds_tables or job.spec.waits_for_loads:
-            if engine.blocked.get(job.req.table_group, 0) > self.now:
+            group, out = job.req.table_group, (j for j, _ in engine.attempts.values())
+            loads = (j for j in out if j.spec.holds_tables and j.req.table_group == group)
+            if engine.blocked.get(group, 0) > self.now or any(loads):
                 return False
-            for other, _ in engine.attempts.values():
-                if other.spec.holds_tables and other.req.table_group == job.req.table_group:
-                    return False
         if engine.used + job.spec.threads > engine.bound:
             engine.full = True
             return False
@@ -536,7 +534,7 @@
     def cold_room(self, engine: Engine, kind: Kind) -> bool:
         """Rule 4: this gateway's part of what a cold engine may be sent within the window it falls over in.
         Departure (many gateways): a part under one query goes whole to as many gateways as it makes, by turns
-        of their numbers that need no talk; whoever has the turn spends it on queries of any class."""
+        of their numbers; whoever has the turn spends it on queries of any class."""
         rules = self.settings.rules
         if rules.overload_factor is None:
             return True
@@ -544,8 +542,8 @@
         most, span = COLD_MARGIN * rules.overload_factor * able * rules.fall_us, rules.fall_us + ASIDE_US
         while engine.sent and engine.sent[0][0] < self.now - span:
             engine.sent.popleft()
-        turn = (self.settings.slot + mix(engine.entry.engine, self.now // span)) % self.settings.instances
-        sent, work, share = sum(w for _, w in engine.sent), self.weight(kind), most / self.settings.instances
+        turn = self.tier.turn(mix(engine.entry.engine, self.now // span))
+        sent, work, share = sum(w for _, w in engine.sent), self.weight(kind), most / self.tier.of_turns
         if not self.pooled:
             return sent + work <= share or (not sent and (turn + 1) * work * len(self.kinds) <= most)
         part = max(share, min(most, max(self.weight(k) for k in self.kinds)))
@@ -562,6 +560,7 @@
         job.attempts.append(attempt)
         engine.attempts[job.req.request, attempt.number] = (job, attempt)
         self.settle()
+        self.doubts.tried(engine.entry.engine, self.now)
         for bound in (engine, self.pool):
             bound.used += job.spec.threads
             bound.most = max(bound.most, bound.used)
@@ -639,6 +638,7 @@
             if job.redrawn and took <= OVERDUE * likely:  # drawing anew paid
                 self.take_backs = min(TAKE_BACKS_SAVED, self.take_backs + 1.0)
             self.kinds[job.req.cls].learn(took, event.work_us)
+            self.doubts.answered(engine.entry.engine, self.now)
             self.clear(engine, engine.errors * self.error_step())
             if job.forgiven:  # served here: what it failed on were the engines, not the request
                 for bad in {a.engine for a in job.attempts if a.result is i.Result.ERROR}:
@@ -660,7 +660,7 @@
                 self.blame(engine, self.error_step() if result is i.Result.ERROR else ERROR_STEP)
             engine.broke_at = self.now if result is i.Result.RESET else engine.broke_at
         elif result is i.Result.CONNECT_FAILED:
-            self.set_aside(engine, max(ASIDE_US, self.round_us()))  # else over before its next query
+            self.set_aside(engine, max(ASIDE_US, self.round_us()), Why.UNREACHABLE)  # past its next query
         ratio = took / self.aim(job, event.work_us or job.req.work_us) / AIM_SHARE
         ratio *= 1.0 if self.pooled else self.warmth(engine)  # Guard: a cold engine is slow, not crowded
         if told is not None and told.busy is not None and told.busy < IDLE_BUSY:
@@ -697,20 +697,20 @@
 
     def report(self, engine: Engine, load: float, at: int = 0) -> None:
         """A load a core, as told or as would explain an attempt that never came back; below 0: forget it."""
-        total = self.level * self.heard - engine.counted
-        most = RATIO_CAP * self.level if self.heard else load
+        total, most = self.level * self.heard - engine.counted, RATIO_CAP * self.level if self.heard else load
         self.heard += (load >= 0) - (engine.reported >= 0)
         engine.counted = max(0.0, min(load, most))
         self.level = max(0.0, total + engine.counted) / max(1, self.heard)
         engine.reported, engine.reported_at = load, at or self.now
         self.hearsay.keep(engine.entry.engine, load, engine.reported_at)
 
-    def set_aside(self, engine: Engine, least: int = ASIDE_US) -> None:
+    def set_aside(self, engine: Engine, least: int = ASIDE_US, why: Why = Why.FAILING) -> None:
         """Rest an engine before a trial; each trial that fails doubles the rest."""
         if self.now >= engine.aside_until:
             engine.aside_for = min(ASIDE_MOST_US // ASIDE_US * least, max(least, 2 * engine.aside_for))
         engine.aside_until = self.now + engine.aside_for
         self.ill.add(engine.entry.engine)
+        self.doubts.found(engine.entry.engine, why, self.now)
 
     def again(self, job: Job) -> None:
         """After an attempt that failed: wait for another engine while it can pay, else end the request."""
@@ -723,12 +723,11 @@
         self.try_or_wait(job)
 
     def may_refuse(self, job: Job) -> bool:  # whether a further try is harmless
-        ran = job.may_have_run()
-        if not ran or job.spec.effect is i.Effect.SAFE:
+        ran, spec = job.may_have_run(), job.spec
+        if not ran or spec.effect is i.Effect.SAFE:
             return True
-        if job.spec.effect is i.Effect.UNSAFE or job.spec.repeat_group is not i.RepeatGroup.ALL:
-            return False
-        return self.now < ran[0].sent + job.spec.repeat_window_us
+        everywhere = spec.effect is i.Effect.KEYED and spec.repeat_group is i.RepeatGroup.ALL
+        return everywhere and self.now < ran[0].sent + spec.repeat_window_us
 
     def end(self, job: Job) -> None:
         """The only gate of final answers: refused where that is true, else failed; never held back."""
@@ -792,10 +791,9 @@
     def check_busy(self) -> None:
         """Guard: silence with work out (hang, dead link, stalled machine): answers due since last heard.
         It could hurt a crowded engine, so it must also last well past the shortest likely time.
-        Guard: an attempt far past its likely time, or bound to be by its notes (bad plan, stuck query):
-        drawn anew, once. It could hurt when all are slow; so requests taken ration it, and only one that
-        then ends in time earns back what it took. Drawn anew by hundreds (pooled), what is long crowds out
-        what could be in time."""
+        Guard: an attempt far past its likely time, or bound to be by its notes (bad plan, stuck query): drawn
+        anew, once. It could hurt when all are slow, so requests ration it, and only one then in time earns
+        it back. Drawn anew by hundreds (pooled), what is long crowds out what could be in time."""
         for engine in list(self.busy.values()):
             held = [(j, a, self.likely(j), self.now - a.sent) for j, a in engine.attempts.values()]
             quiet = self.now - engine.heard
@@ -803,7 +801,7 @@
             silent = due >= MISSED and quiet >= OVERDUE * min(likely for _, _, likely, _ in held)
             silent = silent or quiet > NOTES_LATE * (self.settings.progress_us or math.inf)
             if silent := silent and self.now >= engine.aside_until:
-                self.set_aside(engine)
+                self.set_aside(engine, why=Why.SILENT)
             for job, attempt, likely, late in held:
                 if attempt.share > NOTED and late > NOTED_AFTER * likely:
                     late = int((attempt.note_at - attempt.sent) * (1.0 / attempt.share - 1.0))
