The count of the living and others' doubts reach the decisions, each use off by a switch

Change: peers/use.py rides in the detector's messages (the count a sender uses, engines it can't use) and brings both to Tier and Doubts; [membership.uses] turns each on; log lines for the count and for warehouses doubted; PEERS shows both.

--- a/lilacfront/peers/codec.py
+++ b/lilacfront/peers/codec.py
@@ -181,6 +181,11 @@
                 yield KINDS[Living], LIVING.pack(count)
 
 
+def size(item: Item) -> int:
+    """Bytes that an item takes by itself."""
+    return sum(ITEM + len(body) for _, body in _bodies((item,)))
+
+
 def encode(message: Message, key: tuple[int, bytes] | None = None) -> bytes:
     """The bytes of a message, with a tag where a key is given; the caller has seen to the room."""
     flags, number = (0, 0) if key is None else (TAGGED, key[0])
--- a/lilacfront/peers/detector.py
+++ b/lilacfront/peers/detector.py
@@ -14,6 +14,7 @@
 from collections import deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
+from typing import Protocol
 
 from lilacfront.peers.codec import (
     BLOCK,
@@ -32,7 +33,9 @@
     Ask,
     Block,
     CodecError,
+    Doubts,
     Item,
+    Living,
     Lost,
     Mark,
     Message,
@@ -42,6 +45,7 @@
     State,
     decode,
     encode,
+    size,
 )
 from lilacfront.peers.settings import Membership
 from lilacfront.peers.view import View
@@ -81,6 +85,14 @@
 Send = tuple[int, bytes]
 
 
+class Rider(Protocol):
+    """What travels in the messages beside news of members."""
+
+    def offer(self, now: float, room: int) -> Iterable[Item]: ...
+
+    def take(self, now: float, teller: int, item: Living | Doubts) -> None: ...
+
+
 @dataclass(slots=True)
 class Probe:
     target: int
@@ -136,6 +148,7 @@
         self._tokens, self._tokens_at = settings.bytes_per_s * BURST_S, now
         self._clock = now  # the last time that was seen
         self.stood_still = False
+        self.rider: Rider | None = None
         self.doubt = 0.0  # in this front end's own probes: its accusations were refuted of late
         self.unsteady, self._unsteady_at = 0.0, now  # refutations of anybody that came of late
         self.left = False
@@ -371,6 +384,8 @@
                     held_at = self.view.incarnations[member]
                     if held_at & LOW == low and state is not State.ALIVE:
                         self._accept(News(member, held_at, state), place, now)
+                case Living() | Doubts() if self.rider is not None:
+                    self.rider.take(now, place, item)
                 case Lost(state) if state is not State.ALIVE:
                     differ = self._accept_map(item, place, now)[:DIFFER_MOST]
                     if differ and now - self._told_at[place] >= TOLD_S:
@@ -572,7 +587,9 @@
         return [(peer, data)]
 
     def _news(self, peer: int, room: int, now: float, bare: bool, whole: bool) -> Iterable[Item]:
-        """What to tell: first what is held of the one it goes to, then what was told least."""
+        """What to tell: what is held of the one it goes to; what rides along, a third of the room at most;
+        to who is probed, all that are lost; then what was told least.
+        """
         if room < NEWS.size:
             return
         if self.view.states[peer] != State.ALIVE:
@@ -581,6 +598,9 @@
             yield self.view.news(peer)
         if bare:
             return
+        for item in () if self.rider is None else self.rider.offer(now, room // 3):
+            room -= size(item)
+            yield item
         if whole:
             for state in (State.SUSPECT, State.DEAD, State.LEFT):
                 if (found := self._map(self.view.bits[state], state, room)) is not None:
--- a/lilacfront/peers/doubts.py
+++ b/lilacfront/peers/doubts.py
@@ -1,6 +1,6 @@
 """Suspicions of engines: what a front end tells that it found itself, and what it believes of others.
 
-State and decisions without I/O; times are microseconds. Only what was found at first hand is told, so a member
+State and decisions without I/O; times are microseconds. Only what was found at first hand is told: a member
 speaks for itself alone. A doubt is believed from QUORUM members that are also more than a fifth of those
 heard of late, for DOUBTED_US; what was found before the engine last answered this front end does not count,
 and never are more than half of the engines doubted. What is believed makes an engine be tried with one short
--- a/lilacfront/peers/service.py
+++ b/lilacfront/peers/service.py
@@ -8,11 +8,15 @@
 from lilacfront.logs import Log
 from lilacfront.peers.codec import VERSION, State
 from lilacfront.peers.detector import Detector, Send
+from lilacfront.peers.doubts import Doubts
 from lilacfront.peers.settings import Membership
+from lilacfront.peers.tier import Tier
+from lilacfront.peers.use import Use
 from lilacfront.peers.view import View
 from lilacfront.sched import Loop, Task
 
 log = Log(__name__)
+DOUBTED_SHOWN = 16  # engines named to a person
 
 
 class Members:
@@ -28,16 +32,37 @@
         keys: dict[int, bytes],
         send: Callable[[int, bytes], None],
         others: Callable[[int, bytes], None],
+        tier: Tier,
+        doubts: Doubts,
+        name_of: Callable[[int], str] = str,
     ) -> None:
+        """`tier`, `doubts`: what the decisions go by; `name_of` an engine's number, for the log."""
         self.loop, self._send, self._others = loop, send, others
         self.view = View(members, own, loop.now, self._changed)
         self.detector = Detector(self.view, settings, seed, loop.now, time.time, keys)
+        self._name_of, self._doubted = name_of, frozenset[int]()
+        self.use = Use(settings.uses, tier, doubts, self.detector, self._used)
+        if self.use.counts and not self.use.fits:
+            log.error(
+                "shares go by the settings: they name another number of front ends than there are peers",
+                instances=tier.instances,
+                peers=members,
+            )
         self._task: Task | None = None
         self._alone = False
 
     def _changed(self, member: int, state: State, incarnation: int, why: str) -> None:
         log.warning("peer state", peer=member, state=state.name.lower(), incarnation=incarnation, why=why)
 
+    def _used(self, count: int, doubted: frozenset[int]) -> None:
+        if self.use.counts:
+            log.info("count in use", count=count, living=self.view.living)
+        for engine in doubted - self._doubted:
+            log.warning("warehouse doubted", warehouse=self._name_of(engine))
+        for engine in self._doubted - doubted:
+            log.warning("warehouse not doubted any more", warehouse=self._name_of(engine))
+        self._doubted = doubted
+
     def _out(self, sends: list[Send]) -> None:
         for member, data in sends:
             self._send(member, data)
@@ -56,6 +81,7 @@
         while True:
             self.loop.wait(task, self.detector.due())
             self._out(self.detector.tick(self.loop.now))
+            self.use.look(self.loop.now)
             alone = self.detector.alone(self.loop.now)
             if alone is not self._alone:
                 self._alone = alone
@@ -80,7 +106,10 @@
         told = ", ".join(f"{counts[state]} {state.name.lower()}" for state in State)
         alone = "; this one may be cut off itself" if detector.alone(now) else ""
         refused = "".join(f"; {n} messages refused: {why}" for why, n in sorted(detector.refused.items()))
-        lines = [f"{len(self.view)} members: {told}{alone}; {detector.sent_bytes} bytes sent{refused}"]
+        used = f"; shares divided by {self.use.tier.count}" if self.use.counts else ""
+        if self._doubted:
+            used += "; doubted: " + " ".join(sorted(map(self._name_of, self._doubted))[:DOUBTED_SHOWN])
+        lines = [f"{len(self.view)} members: {told}{alone}{used}; {detector.sent_bytes} bytes sent{refused}"]
         for news in self.view:
             heard = now - detector.heard_at[news.member]
             own = news.member == self.view.own
--- a/lilacfront/peers/settings.py
+++ b/lilacfront/peers/settings.py
@@ -9,6 +9,15 @@
     """A file that can't be used; the text names the key."""
 
 
+class Uses(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """[membership.uses]: what the count of the living and others' doubts are used for, each by itself."""
+
+    turns: bool = False  # shares and turns on cold engines go by the count of the living
+    bound: bool = False  # the bound on threads at all engines does
+    allowances: bool = False  # tenants' allowances do
+    doubts: bool = False  # engines that others can't use are tried with one short read first
+
+
 class Membership(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
     """[membership]. Times are seconds."""
 
@@ -20,6 +29,7 @@
     most_s: float = 3.0  # and so long with one
     bytes_per_s: int = 1900  # that a front end sends at most, headers of UDP and IP among them
     keys: str = ""  # a file with lines `NUMBER HEX`; the first key tags, all are taken
+    uses: Uses = Uses()
 
 
 class File(msgspec.Struct, forbid_unknown_fields=True):
--- a/lilacfront/peers/tier.py
+++ b/lilacfront/peers/tier.py
@@ -72,7 +72,8 @@
     def turn(self, start: int) -> int:
         """This front end's turn, from 0, in the order that begins with number -`start`.
 
-        Places of the lost are taken by those behind them, as far as the count in use goes.
+        Places of the lost are taken by those behind them, as far as the count in use goes, and by no more
+        than twice as many as there are turns, whatever the views are.
         """
         place = (self.slot + start) % self.instances
         if not self.uses_turns or place == 0:
@@ -81,4 +82,5 @@
         lost = self._lost[self.slot] - self._lost[first]
         if first > self.slot:
             lost += self._lost[-1]
-        return max(place - lost, math.ceil(place * self.count / self.instances))
+        lost = min(lost, self.instances - self.count)
+        return max(place - lost, int(LEAST_PART * place))
--- a/lilacfront/server.py
+++ b/lilacfront/server.py
@@ -172,6 +172,9 @@
                 config.peer_keys,
                 lambda member, data: self.peers.send(member, data) if self.peers is not None else None,
                 self.facade.heard_peer,
+                self.facade.gateway.tier,
+                self.facade.gateway.doubts,
+                self._address_of,
             )
             self.loop.spawn(self.members.run)
         if (settings.limits.tell or self.members is not None) and config.peer_listen is not None:
@@ -214,6 +217,10 @@
             log.warning("peers can't be heard yet", at=listen, problem=problem)
             self.loop.at(self.loop.now + PEERS_AGAIN_S, lambda: self._link(listen))
 
+    def _address_of(self, engine: int) -> str:
+        """What a person knows a warehouse by."""
+        return "{}:{}".format(*self.roster.addresses.get(engine, ("unknown", engine)))
+
     def heard(self, fleet: Fleet) -> None:
         news, addresses = self.roster.news(fleet)
         ids = [one.instance_id for one in fleet.instances if one.instance_id]
