--- a/lilacfront/lab/contenders.py
+++ b/lilacfront/lab/contenders.py
@@ -12,7 +12,8 @@
 
 import msgspec
 
-from lilacfront.lab.members import Make, Member, Ours, Script
+from lilacfront.lab.faults import Script
+from lilacfront.lab.members import Make, Member, Ours
 from lilacfront.peers.codec import HEAD, MESSAGE_MOST
 from lilacfront.peers.detector import HEADERS, Send
 
--- /dev/null
+++ b/lilacfront/lab/fleet.py
@@ -0,0 +1,279 @@
+"""A fleet of real front ends by a script: processes, relays between them, warehouses, requests, faults.
+
+What each holds of the others is asked for on its operators' address and set against the truth.
+"""
+
+from __future__ import annotations
+
+import signal
+import threading
+import time
+from collections import Counter
+from functools import partial
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from lilacfront.lab.faults import Fault, Script
+from lilacfront.lab.relay import Relays
+from lilacfront.lab.score import Outcome, Scorer
+from lilacfront.lab.world import PATIENCE_S, SETTINGS, Client, Process, World, until
+
+LOOK_S = 0.25  # between two looks at all views
+STATES = ("alive", "suspect", "dead", "left")
+AIM_S = SETTINGS["classes"][0]["aim"] / 1e6  # of a lookup
+ASK_S = 2.0  # for one answer of a front end about its view
+
+
+def peers_file(script: Script, on: bool) -> str:
+    """The TOML of a script's [membership]."""
+    told = msgspec.to_builtins(script.membership)
+    uses = told.pop("uses")
+    told["on"] = on
+
+    def lines(table: dict[str, Any]) -> str:
+        return "".join(f"{key} = {msgspec.json.encode(value).decode()}\n" for key, value in table.items())
+
+    return f"[membership]\n{lines(told)}\n[membership.uses]\n{lines(uses)}"
+
+
+class Caller(threading.Thread):
+    """Asks one front end for a lookup now and then; each on a connection that it keeps while it can."""
+
+    def __init__(self, number: int, address: tuple[str, int], per_s: float) -> None:
+        super().__init__(daemon=True)
+        self.number, self.address, self.every_s = number, address, 1.0 / per_s
+        self.ended: Counter[str] = Counter()
+        self.over = threading.Event()
+
+    def run(self) -> None:
+        client: Client | None = None
+        asked = 0
+        while not self.over.wait(self.every_s):
+            asked += 1
+            began = time.monotonic()
+            try:
+                if client is None:
+                    client = Client(self.address)
+                seq = client.ask((self.number << 32) + asked, group=asked)
+                reply = client.answer(seq, must=False)
+            except OSError:
+                reply = None
+            if reply is None:
+                self.ended["no answer"] += 1
+                if client is not None:
+                    client.close()
+                client = None
+            else:
+                late = time.monotonic() - began > AIM_S
+                self.ended[f"{reply.word}, late" if late else reply.word] += 1
+        if client is not None:
+            client.close()
+
+
+class Fleet:
+    """`script.members` processes in folders of their own below `folder`."""
+
+    def __init__(self, folder: Path, script: Script, seed: int = 1) -> None:
+        self.script, members = script, script.members
+        self.relays = Relays(script, seed)
+        (folder / "warehouses").mkdir()
+        self.stand = World(folder / "warehouses", script.warehouses)
+        instances = [self.stand.instance(name) for name in self.stand.warehouses]
+        known = {"seq": 1, "results": [{"seq": 1, "fleet": {"reset": True, "instances": instances}}]}
+        self.worlds: list[World] = []
+        self.files: list[Path] = []
+        for n in range(members):
+            home = folder / str(n)
+            home.mkdir()
+            file = home / "peers.toml"
+            file.write_text(peers_file(script, script.membership.on and n not in script.old))
+            self.files.append(file)
+            limits = {**SETTINGS["policy-limits"], "may-tell": True}
+            settings = {**SETTINGS, "instances": members, "slot-no": n, "policy-limits": limits}
+            self.worlds.append(
+                World(
+                    home,
+                    0,
+                    name=f"n{n}",
+                    settings=settings,
+                    changelog=self.stand.log.address,
+                    known=known,
+                    peers=self.relays.peers(n),
+                    peer_listen="{}:{}".format(*self.relays.listen[n]),
+                )
+            )
+        self.processes: list[Process] = []
+        self.stopped: set[int] = set()
+        self.starting: set[int] = set()  # until they answer
+        self.gone: set[int] = set()
+        self.callers: list[Caller] = []
+        for n in range(members):
+            self.processes.append(self._process(n))
+
+    def _process(self, n: int) -> Process:
+        return self.worlds[n].start(options=["--peers", str(self.files[n])])
+
+    def ready(self) -> Fleet:
+        """All are ready, and all that follow each other have heard each other."""
+        for process in self.processes:
+            process.ready()
+        following = [n for n in range(self.script.members) if n not in self.script.old]
+        for viewer in following if self.script.membership.on else ():
+            until(partial(self._heard_all, viewer, following), "all to have heard all")
+        return self
+
+    def _heard_all(self, viewer: int, of: list[int]) -> bool:
+        lines = self.processes[viewer].call("PEERS").splitlines()
+        return all("never" not in lines[1 + n] for n in of)
+
+    # ---- views ----------------------------------------------------------------------------------------
+    def view(self, viewer: int) -> list[str] | None:
+        """The state in which one holds each of the others; None where it does not answer."""
+        try:
+            lines = self.processes[viewer].call("PEERS", ASK_S).splitlines()
+        except OSError:
+            return None
+        return [line.split(" ")[1] for line in lines[1:]] if lines and lines[0].startswith("ok") else None
+
+    def sees(self, viewer: int, member: int) -> str:
+        view = self.view(viewer)
+        return "no answer" if view is None else view[member]
+
+    def all_see(self, member: int, state: str, but: tuple[int, ...] = ()) -> bool:
+        return all(
+            self.sees(n, member) == state
+            for n in range(self.script.members)
+            if n not in (member, *but) and n not in self.gone and n not in self.script.old
+        )
+
+    # ---- faults ---------------------------------------------------------------------------------------
+    def kill(self, n: int) -> None:
+        self.processes[n].signal(signal.SIGKILL)
+        self.processes[n].ended()
+        self.gone.add(n)
+        self.relays.dead.add(n)
+
+    def start(self, n: int) -> None:
+        self.processes[n] = self._process(n)
+        self.gone.discard(n)
+        self.starting.add(n)
+        self.relays.dead.discard(n)
+
+    def stop(self, n: int) -> None:
+        self.processes[n].signal(signal.SIGSTOP)
+        self.stopped.add(n)
+
+    def go_on(self, n: int) -> None:
+        self.processes[n].signal(signal.SIGCONT)
+        self.stopped.discard(n)
+
+    def leave(self, n: int) -> None:
+        self.processes[n].signal(signal.SIGTERM)
+        self.gone.add(n)
+
+    def warehouses(self, fault: Fault) -> None:
+        one_by_one = list(self.stand.warehouses.values())
+        for place in fault.who:
+            one = one_by_one[place]
+            match fault.do:
+                case "shut":
+                    self.stand.do(one.shut)
+                case "open":
+                    self.stand.do(one.reopen)
+                case "hold":
+                    one.held = True
+                case "serve":
+                    self.stand.do(one.release)
+
+    def fault(self, fault: Fault, score: Scorer | None = None, now: float = 0.0) -> None:
+        """Do what a script says at one moment."""
+        who = list(fault.who)
+        if fault.part and fault.do not in ("shut", "open", "hold", "serve"):
+            running = [n for n in range(self.script.members) if n not in self.gone | self.stopped]
+            who = self.relays.net.draw(running, fault.part)
+        match fault.do:
+            case "cut":
+                self.relays.net.cut(fault, who)
+            case "heal":
+                self.relays.net.cuts.clear()
+                if score is not None:
+                    score.healed(now)
+            case "lie":
+                self.relays.liars.update(dict.fromkeys(who, fault.lie))
+            case "shut" | "open" | "hold" | "serve":
+                self.warehouses(fault)
+        for n in who:
+            match fault.do:
+                case "kill":
+                    self.kill(n)
+                case "leave":
+                    self.leave(n)
+                case "start":
+                    self.start(n)
+                case "stop":
+                    self.stop(n)
+                case "continue":
+                    self.go_on(n)
+            if score is not None and fault.do in ("kill", "leave"):
+                score.died(n, now)
+            if score is not None and fault.do == "continue":
+                score.ran(n, now)
+
+    # ---- a whole script -------------------------------------------------------------------------------
+    def play(self) -> tuple[Outcome, list[tuple[float, dict[int, list[str]], dict[int, str]]], Counter[str]]:
+        """The outcome; at each look the views and the truth; how requests ended."""
+        script = self.script
+        score = Scorer(script.members, max((fault.at for fault in script.faults), default=0.0))
+        if script.requests_per_s > 0:
+            self.callers = [
+                Caller(n, self.worlds[n].listen, script.requests_per_s) for n in range(script.members)
+            ]
+        for caller in self.callers:
+            caller.start()
+        faults = sorted(script.faults, key=lambda one: one.at)
+        history: list[tuple[float, dict[int, list[str]], dict[int, str]]] = []
+        sent = Counter(self.relays.bytes)
+        began = time.monotonic()
+        turn = 0
+        while (now := time.monotonic() - began) < script.seconds:
+            while faults and faults[0].at <= now:
+                self.fault(faults.pop(0), score, time.monotonic() - began)
+            views = {n: view for n in self._viewers() if (view := self.view(n)) is not None}
+            now = time.monotonic() - began
+            for n in self.starting & set(views):
+                score.ran(n, now)
+                self.starting.discard(n)
+            held = {n: [state in STATES[2:] for state in view] for n, view in views.items()}
+            truth = script.members - len(self.gone)
+            score.look(
+                now, held, self.stopped | self.starting | set(script.old), self.relays.net.apart, truth
+            )
+            true = {n: "dead" for n in self.gone} | {n: "stopped" for n in self.stopped}
+            history.append((now, views, true))
+            turn += 1
+            next_at = min([LOOK_S * turn, *(fault.at for fault in faults[:1])])
+            time.sleep(max(0.0, next_at - (time.monotonic() - began)))
+        alive = set(range(script.members)) - self.gone
+        seconds = time.monotonic() - began
+        rates = {n: (self.relays.bytes[n] - sent[n]) / seconds for n in alive}
+        ended: Counter[str] = Counter()
+        for caller in self.callers:
+            caller.over.set()
+        for caller in self.callers:
+            caller.join(PATIENCE_S)
+            ended += caller.ended
+        return score.close(seconds, set(self._viewers()), rates), history, ended
+
+    def _viewers(self) -> list[int]:
+        out = self.gone | self.stopped | set(self.relays.liars) | set(self.script.old)
+        return [n for n in range(self.script.members) if n not in out]
+
+    def close(self) -> None:
+        for caller in self.callers:
+            caller.over.set()
+        for world in self.worlds:
+            world.close()
+        self.stand.close()
+        self.relays.close()
--- a/lilacfront/lab/members.py
+++ b/lilacfront/lab/members.py
@@ -10,46 +10,20 @@
 import math
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from itertools import count
-from typing import Literal, Protocol
+from typing import Protocol
 
-import msgspec
-
-from lilacfront.peers.codec import Ack, Ask, News, Ping, State, decode, encode
+from lilacfront.lab.faults import Fault, Net, Script, lied
+from lilacfront.lab.score import Outcome, Scorer
+from lilacfront.peers.codec import State
 from lilacfront.peers.detector import Detector, Send
-from lilacfront.peers.settings import Membership
 from lilacfront.peers.view import View
 
 WALL = 1_800_000_000.0  # the wall clock where the model's is 0
 LOOK_S = 0.25  # between two looks at all views
 
 
-class Fault(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
-    """One thing that happens. `who`: members by number, or by a part of them all, drawn with the seed."""
-
-    at: float
-    do: Literal["kill", "start", "stop", "continue", "leave", "cut", "heal", "lie"]
-    who: list[int] = []
-    part: float = 0.0
-    to: list[int] = []  # of a cut: nothing of `who` reaches these; empty: all others
-    both: bool = True  # of a cut: nor the other way
-    clock: float = 0.0  # of a start: seconds by which its wall clock is off
-    lie: Literal["all dead", "dead live"] = "all dead"
-
-
-class Script(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
-    members: int = 50
-    seconds: float = 30.0
-    loss: float = 0.0
-    doubles: float = 0.0
-    late: float = 0.0  # part of the messages that take up to `late_s`
-    late_s: float = 1.0
-    delay_s: tuple[float, float] = (0.0011, 0.038)
-    membership: Membership = Membership(on=True)
-    faults: list[Fault] = []
-
-
 class Member(Protocol):
     """What finds out who lives; `Detector` and those that it is compared with."""
 
@@ -113,27 +87,9 @@
     stopped: bool = False
     inbox: list[tuple[int, bytes]] = field(default_factory=list)  # what came while it was stopped
     lives: int = 0  # times that it was started
-    since: float = 0.0  # of its being alive and running, or not
     lie: str = ""
 
 
-@dataclass
-class Outcome:
-    """What the views were worth. Times in seconds."""
-
-    found: list[float] = field(default_factory=list)  # from a death to each living member's knowing
-    missed: int = 0  # pairs of a death and a member that never knew
-    wrong: list[float] = field(default_factory=list)  # how long a running member was held dead, each time
-    wrong_after: float = 0.0  # the longest that one was held dead beyond its own pause's or cut's end
-    counts: list[tuple[float, int, int, int]] = field(
-        default_factory=list
-    )  # time, truth, least, most counted
-    bytes_per_s: float = 0.0  # of the member that sent most
-    mean_bytes_per_s: float = 0.0
-    messages: int = 0
-    agreed_at: float = math.nan  # after the last fault all views of the living are the truth from then on
-
-
 class Arena:
     """Runs a script."""
 
@@ -144,13 +100,10 @@
         self.now, self._order = 0.0, count()
         self.hosts = [Host(n) for n in range(script.members)]
         self._events: list[tuple[float, int, Callable[[], None]]] = []
-        self._cuts: set[tuple[int, int]] = set()
-        self._cut_until: dict[int, float] = {}
+        self._net = Net(script, self._random)
         self._ticks: dict[int, float] = {}
-        self.outcome = Outcome()
-        self._deaths: dict[int, float] = {}
-        self._known: dict[tuple[int, int], float] = {}  # (viewer, member) -> since when held dead, wrongly
-        self._found: dict[tuple[int, int], tuple[float, float]] = {}  # (viewer, member) -> died, known
+        self.score = Scorer(script.members, max((fault.at for fault in script.faults), default=0.0))
+        self._messages = 0
         self._sent: dict[int, int] = {}
 
     # ---- the run ------------------------------------------------------------------------------------
@@ -166,17 +119,16 @@
         while self._events and self._events[0][0] <= self.script.seconds:
             self.now, _, call = heapq.heappop(self._events)
             call()
-        self._close()
-        return self.outcome
+        return self._close()
 
     def _start(self, host: Host, clock: float) -> None:
         host.lives += 1
-        host.stopped, host.since = False, self.now
+        host.stopped = False
         seed = self.seed * 7919 + host.number * 31 + host.lives
         make: Make = self._make
         host.member = make(host.number, self.script, seed, self.now, clock)
         host.inbox.clear()
-        self._deaths.pop(host.number, None)
+        self.score.ran(host.number, self.now)
         self._wake(host, self.now)
 
     def _wake(self, host: Host, when: float) -> None:
@@ -195,18 +147,11 @@
         self._wake(host, max(host.member.due(), self.now + 0.005))
 
     def _send(self, host: Host, sends: list[Send]) -> None:
-        script = self.script
         for peer, data in sends:
-            self.outcome.messages += 1
+            self._messages += 1
             if host.lie:
                 data = self._lie(host, data)
-            copies = 2 if self._random.random() < script.doubles else 1
-            for _ in range(copies):
-                if (host.number, peer) in self._cuts or self._random.random() < script.loss:
-                    continue
-                delay = self._random.uniform(*script.delay_s)
-                if self._random.random() < script.late:
-                    delay = self._random.uniform(0.0, script.late_s)
+            for delay in self._net.delays(host.number, peer):
                 self.at(self.now + delay, lambda peer=peer, data=data: self._come(peer, host.number, data))  # type: ignore[misc]
 
     def _come(self, peer: int, sender: int, data: bytes) -> None:
@@ -221,41 +166,26 @@
         self._wake(host, max(host.member.due(), self.now + 0.005))
 
     def _lie(self, host: Host, data: bytes) -> bytes:
-        """What a liar sends: its probes and answers, and with them news that are not so."""
         assert isinstance(host.member, Ours)
-        detector = host.member.detector
-        news = []
-        for member in self._random.sample(range(len(self.hosts)), min(26, len(self.hosts))):
-            held = detector.view.incarnations[member]
-            if host.lie == "all dead" and member != host.number:
-                news.append(News(member, held, State.DEAD))
-            elif host.lie == "dead live" and self.hosts[member].member is None:
-                news.append(News(member, held + 1 + self._random.randrange(3), State.ALIVE))
-        true = decode(data)
-        answers = tuple(one for one in true.items if isinstance(one, Ping | Ack | Ask))
-        return encode(replace(true, items=(*answers, *news)))
+        held = host.member.detector.view.incarnations.__getitem__
+        dead = {one.number for one in self.hosts if one.member is None}
+        return lied(data, host.lie, host.number, dead, held, self._random, len(self.hosts))
 
     # ---- faults ---------------------------------------------------------------------------------------
     def _who(self, fault: Fault) -> list[Host]:
         if fault.part:
-            running = [host for host in self.hosts if host.member is not None and not host.stopped]
-            return self._random.sample(running, round(fault.part * len(running)))
+            running = [h.number for h in self.hosts if h.member is not None and not h.stopped]
+            return [self.hosts[n] for n in self._net.draw(running, fault.part)]
         return [self.hosts[n] for n in fault.who]
 
     def _fault(self, fault: Fault) -> None:
         who = self._who(fault)
         match fault.do:
             case "cut":
-                others = fault.to or [h.number for h in self.hosts if h not in who]
-                for host in who:
-                    for other in others:
-                        self._cuts.add((host.number, other))
-                        if fault.both:
-                            self._cuts.add((other, host.number))
+                self._net.cut(fault, [host.number for host in who])
             case "heal":
-                self._cuts.clear()
-                for host in self.hosts:
-                    host.since = max(host.since, self.now)
+                self._net.cuts.clear()
+                self.score.healed(self.now)
         for host in who:
             match fault.do:
                 case "kill":
@@ -268,7 +198,8 @@
                 case "stop":
                     host.stopped = True
                 case "continue" if host.stopped:
-                    host.stopped, host.since = False, self.now
+                    host.stopped = False
+                    self.score.ran(host.number, self.now)
                     self._ticks.pop(host.number, None)
                     self._wake(host, self.now)
                     waiting, host.inbox = host.inbox, []
@@ -281,9 +212,7 @@
         if host.member is not None:
             self._sent[host.number] = self._sent.get(host.number, 0) + host.member.sent_bytes
         host.member = None
-        self._deaths[host.number] = self.now
-        for key in [one for one in self._known if one[0] == host.number]:
-            del self._known[key]
+        self.score.died(host.number, self.now)
 
     # ---- what the views are worth -----------------------------------------------------------------------
     def _running(self) -> list[Host]:
@@ -291,60 +220,20 @@
 
     def _look(self) -> None:
         self.at(self.now + LOOK_S, self._look)
-        running = self._running()
-        living = {host.number for host in self.hosts if host.member is not None}
-        counted = []
-        agreed = True
-        for viewer in running:
-            assert viewer.member is not None
-            dead = 0
-            for host in self.hosts:
-                held = viewer.member.dead(host.number)
-                dead += held
-                key = (viewer.number, host.number)
-                if host.number in self._deaths:
-                    agreed = agreed and held
-                    died = self._deaths[host.number]
-                    if held and self._found.get(key, (math.nan, 0.0))[0] != died:
-                        self._found[key] = (died, self.now)
-                elif held:
-                    agreed = False
-                    if not host.stopped and not self._apart(viewer.number, host.number):
-                        self._known.setdefault(key, self.now)
-                elif key in self._known:
-                    self._wrongly(key)
-            counted.append(len(self.hosts) - dead)
-        truth = len(living)
-        if counted:
-            self.outcome.counts.append((self.now, truth, min(counted), max(counted)))
-        last = max((fault.at for fault in self.script.faults), default=0.0)
-        if self.now >= last and agreed and math.isnan(self.outcome.agreed_at):
-            self.outcome.agreed_at = self.now - last
-        elif not agreed:
-            self.outcome.agreed_at = math.nan
-
-    def _apart(self, one: int, other: int) -> bool:
-        return (one, other) in self._cuts and (other, one) in self._cuts
-
-    def _wrongly(self, key: tuple[int, int]) -> None:
-        began = self._known.pop(key)
-        self.outcome.wrong.append(self.now - began)
-        after = self.now - max(began, self.hosts[key[1]].since, self.hosts[key[0]].since)
-        self.outcome.wrong_after = max(self.outcome.wrong_after, after)
-
-    def _close(self) -> None:
-        for key in list(self._known):
-            self._wrongly(key)
-        for (viewer, member), (died, found) in self._found.items():
-            if self._deaths.get(member) == died and self.hosts[viewer].member is not None:
-                self.outcome.found.append(found - died)
-        running = self._running()
-        for gone, died in self._deaths.items():
-            for one in running:
-                told = self._found.get((one.number, gone))
-                self.outcome.missed += told is None or told[0] != died
+        views = {}
+        for host in self._running():
+            assert host.member is not None
+            views[host.number] = [host.member.dead(n) for n in range(len(self.hosts))]
+        stopped = {host.number for host in self.hosts if host.stopped}
+        truth = sum(host.member is not None for host in self.hosts)
+        self.score.look(self.now, views, stopped, self._net.apart, truth)
+
+    def _close(self) -> Outcome:
+        running = {host.number for host in self._running()}
         for host in self.hosts:
             if host.member is not None:
                 self._sent[host.number] = self._sent.get(host.number, 0) + host.member.sent_bytes
-        rates = [sent / self.script.seconds for sent in self._sent.values()]
-        self.outcome.bytes_per_s, self.outcome.mean_bytes_per_s = max(rates), sum(rates) / len(rates)
+        rates = {member: sent / self.script.seconds for member, sent in self._sent.items()}
+        outcome = self.score.close(self.now, running, rates)
+        outcome.messages = self._messages
+        return outcome
--- a/lilacfront/lab/members_cli.py
+++ b/lilacfront/lab/members_cli.py
@@ -7,17 +7,23 @@
 from statistics import median
 
 import click
-import msgspec
 
 from lilacfront.lab.contenders import CONTENDERS
-from lilacfront.lab.members import Arena, Outcome, Script
+from lilacfront.lab.faults import ScriptError, parse
+from lilacfront.lab.members import Arena
+from lilacfront.lab.score import Outcome
 
+HEADER = (
+    "| | a death known after: median, 99th, last, s | never known | living held dead: "
+    "times, longest, beyond its pause or cut, s | bytes a second, mean of members |\n"
+    "| --- | --- | --- | --- | --- |"
+)
 FILE = click.Path(exists=True, dir_okay=False, path_type=Path)
 
 
 def _play(job: tuple[bytes, str, int]) -> Outcome:
     text, name, seed = job
-    return Arena(msgspec.toml.decode(text, type=Script), seed, CONTENDERS[name]).run()
+    return Arena(parse(text), seed, CONTENDERS[name]).run()
 
 
 def _spread(values: list[float]) -> str:
@@ -29,7 +35,7 @@
     return f"{median(values):.2f} ({values[cut]:.2f} to {values[-1 - cut]:.2f})"
 
 
-def _row(name: str, outcomes: list[Outcome]) -> str:
+def row(name: str, outcomes: list[Outcome]) -> str:
     found = sorted(one for outcome in outcomes for one in outcome.found)
     if found:
         p99 = found[min(len(found) - 1, int(0.99 * len(found)))]
@@ -59,15 +65,11 @@
         for path in scripts:
             text = path.read_bytes()
             try:
-                script = msgspec.toml.decode(text, type=Script)
-            except (msgspec.MsgspecError, ValueError) as problem:
+                script = parse(text)
+            except ScriptError as problem:
                 raise click.ClickException(f"{path}: {problem}") from problem
             click.echo(f"\n{path.stem}: {script.members} members, {script.seconds:g} s, {seeds} seeds\n")
-            click.echo(
-                "| detector | a death known after: median, 99th, last, s | never known | living held dead: "
-                "times, longest, beyond its pause or cut, s | bytes a second, mean of members |"
-            )
-            click.echo("| --- | --- | --- | --- | --- |")
+            click.echo(HEADER)
             for name in names or tuple(CONTENDERS):
                 jobs = [(text, name, seed) for seed in range(1, seeds + 1)]
-                click.echo(_row(name, pool.map(_play, jobs)))
+                click.echo(row(name, pool.map(_play, jobs)))
--- a/lilacfront/lab/world.py
+++ b/lilacfront/lab/world.py
@@ -87,6 +87,17 @@
             row = self.name.encode() + b"\t1\t2\n"
             stream.write(resp.encode(call, b"HIT", b"pages=1,rep=inflight:1;util:0.1", row))
 
+    def shut(self) -> None:
+        """Refuse connections, as a machine whose process is down; those that are open break."""
+        self.listener.close()
+        for seat in list(self.listener.seats):
+            seat.stream.close()
+
+    def reopen(self) -> None:
+        self.listener = Listener(
+            self.loop, self.listener.address, CONNECTIONS_MOST, QUEUED_MOST, self._accept
+        )
+
     def release(self) -> None:
         self.held = False
         for call in list(self.open):
@@ -265,9 +276,9 @@
 
         until(seen, f"{event} {fields}; log: {self.lines[-5:]}")
 
-    def call(self, line: str) -> str:
+    def call(self, line: str, within_s: float = PATIENCE_S) -> str:
         """One operator's call; its answer."""
-        with socket.create_connection(self.admin, timeout=PATIENCE_S) as sock:
+        with socket.create_connection(self.admin, timeout=within_s) as sock:
             sock.sendall(line.encode() + b"\n")
             got = b""
             while data := sock.recv(65536):
--- a/lilacfront/peers/detector.py
+++ b/lilacfront/peers/detector.py
@@ -14,6 +14,7 @@
 from collections import deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
+from hashlib import blake2b
 from typing import Protocol
 
 from lilacfront.peers.codec import (
@@ -58,6 +59,7 @@
 MANY = 3  # probes that failed of late, from which no others are asked: they would take all of the rate
 MANY_PART = 10  # or this part of all members suspect
 SELF = 1  # further pings where nobody else is asked
+STRIDES = 4  # tried for one that lives, before any of them is drawn
 AGAIN = 4  # every so many probes one goes to a member held dead
 GOSSIP_S = 0.2  # between two rounds of telling
 FANOUT = 2  # members told in a round
@@ -128,7 +130,6 @@
         self._random = random.Random(seed)
         self.set_keys(keys or {})
         self._numbers = 0
-        self._order: deque[int] = deque()
         self._probes: dict[int, Probe] = {}  # by the numbers of their pings
         self._relays: dict[int, tuple[int, int, float]] = {}  # ping -> asker, its number, until when
         self._next = 0
@@ -259,8 +260,9 @@
         fast = (bool(self._failures) or self._many()) and not self.alone(now)
         # Guard: in a network where what lives is suspected ever anew more probes make more of that.
         fast = fast and self._unsteadiness(now) < UNSTEADY
-        self._probe_at = now + (period / FAST if fast else period)
-        target = self._target()
+        every = period / FAST if fast else period
+        self._probe_at = now + every
+        target = self._target(int(self._wall_s() / every))
         if target is None:
             return []
         number = self._number()
@@ -275,24 +277,27 @@
         self._next = (self._next + 1) & HIGHEST
         return self._next
 
-    def _target(self) -> int | None:
-        """Each in turn, in an order drawn anew each time round; now and then one that is held dead."""
+    def _target(self, step: int) -> int | None:
+        """Whom to probe in this period; now and then one that is held dead.
+
+        All go as many places round the numbers in a period, drawn anew for each from the clock. So each
+        member is probed once a period, by ever others; drawn by each, one in fifty was not for 1.5 s.
+        Clocks that differ only make it chance again.
+        """
         self._probed += 1
         if self._probed % AGAIN == 0 and self.view.counts[State.DEAD]:
             dead = [m for m in range(self.members) if self.view.states[m] == State.DEAD]
             return self._random.choice(dead)
-        for _ in range(self.members + 1):
-            if not self._order:
-                order = [m for m in range(self.members) if m != self.own]
-                self._random.shuffle(order)
-                self._order.extend(order)
-            if not self._order:
-                return None
-            member = self._order.popleft()
-            # While many fail, those that are suspect already are left to their time.
-            if self.view.states[member] <= (State.ALIVE if self._many() else State.SUSPECT):
+        # While many fail, those that are suspect already are left to their time.
+        most = State.ALIVE if self._many() else State.SUSPECT
+        for turn in range(STRIDES if self.members > 1 else 0):
+            drawn = blake2b(b"%d %d" % (step, turn), digest_size=4).digest()
+            stride = 1 + int.from_bytes(drawn, "big") % (self.members - 1)
+            member = (self.own + stride) % self.members
+            if self.view.states[member] <= most:
                 return member
-        return None
+        rest = [m for m in range(self.members) if m != self.own and self.view.states[m] <= most]
+        return self._random.choice(rest) if rest else None
 
     def _some(self, now: float, count: int, but: int = -1) -> list[int]:
         """So many members that live, of some drawn at random those heard last: others may have died since."""
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -15,7 +15,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lilacfront.lab.members import Arena, Fault, Outcome, Script
+from lilacfront.lab.faults import Fault, Script
+from lilacfront.lab.members import Arena
+from lilacfront.lab.score import Outcome
 from lilacfront.lab.world import SETTINGS, Process, World, until
 from lilacfront.peers import codec
 from lilacfront.peers.codec import (
