lab explore: every schedule of two faults among three members, and properties broken on purpose

Need: the issue asks for the states of three members with two faults explored whole. Weighed: real detectors with schedules of faults and of lost messages, taken; a copy of their rules as a table of states, not taken: it would prove the copy.

--- a/lilacfront/lab/cli.py
+++ b/lilacfront/lab/cli.py
@@ -7,6 +7,7 @@
 import click
 
 from lilacfront.lab import behaviour as behaviours
+from lilacfront.lab.explore_cli import command as explore
 from lilacfront.lab.fleet_cli import command as fleet
 from lilacfront.lab.fleetlog import count
 from lilacfront.lab.members_cli import command as members
@@ -19,6 +20,7 @@
 
 
 group.add_command(count)
+group.add_command(explore)
 group.add_command(fleet)
 group.add_command(members)
 
