Recovery: what is kept over a power loss, trusted and asked of peers, and a staged return

Cause: after a loss of power of all front ends each began from the configuration's list, took all warehouses for warm, and no suspension, drain or load of before was known. The change log may count from 1 again. The decision module is untouched. Seen on the way: a list told anew at the first stage took back what a peer's newer list had left out (23 lookups at a warehouse that was gone, test of old files); the bar is now part of every telling.

--- a/lilacfront/cli.py
+++ b/lilacfront/cli.py
@@ -108,9 +108,18 @@
 )
 
 
-def _load(gateway: Path, teams: Path, peers: Path) -> configuration.Config:
+recovery_option = click.option(
+    "--recovery",
+    type=click.Path(dir_okay=False, path_type=Path),
+    default=Path("deploy/recovery.toml"),
+    show_default=True,
+    help="The file that has a front end keep what it needs after a power loss.",
+)
+
+
+def _load(gateway: Path, teams: Path, peers: Path, recovery: Path) -> configuration.Config:
     try:
-        return configuration.load(gateway, teams, peers)
+        return configuration.load(gateway, teams, peers, recovery)
     except configuration.ConfigError as problem:
         raise StartRefused(str(problem)) from problem
 
@@ -119,18 +128,19 @@
 @gateway_option
 @teams_option
 @peers_option
+@recovery_option
 @click.option("--verbose", is_flag=True, help="The same as --log-level info before `serve`.")
 @click.pass_context
-def serve(ctx: click.Context, gateway: Path, teams: Path, peers: Path, verbose: bool) -> None:
+def serve(ctx: click.Context, gateway: Path, teams: Path, peers: Path, recovery: Path, verbose: bool) -> None:
     """Serve until SIGTERM; PROXY_CONFIG names the configuration, which SIGHUP has read again."""
     # Guard: until there is something to do on it, SIGHUP must not end the program.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     if verbose:
         above: dict[str, Any] = ctx.parent.params if ctx.parent is not None else {}
         logs.configure(above.get("log_format", "console"), "info")
-    config = _load(gateway, teams, peers)
+    config = _load(gateway, teams, peers, recovery)
     try:
-        server = Server(config, read_again=partial(configuration.load, gateway, teams, peers))
+        server = Server(config, read_again=partial(configuration.load, gateway, teams, peers, recovery))
     except StartError as problem:
         raise StartRefused(str(problem)) from problem
     server.run()
@@ -140,9 +150,10 @@
 @gateway_option
 @teams_option
 @peers_option
-def check_config(gateway: Path, teams: Path, peers: Path) -> None:
+@recovery_option
+def check_config(gateway: Path, teams: Path, peers: Path, recovery: Path) -> None:
     """Check the configuration and tell what is wrong with it."""
-    config = _load(gateway, teams, peers)
+    config = _load(gateway, teams, peers, recovery)
     click.echo(
         f"{config.name or 'lilacfront'}: {len(config.class_names)} classes, listens at {config.listen}"
     )
--- a/lilacfront/config.py
+++ b/lilacfront/config.py
@@ -17,6 +17,8 @@
 from lilacfront.membership.fleet import ListError, parse_address
 from lilacfront.peers.settings import Membership, PeersError, parse_keys
 from lilacfront.peers.settings import parse as parse_peers
+from lilacfront.recovery.settings import Recovery, RecoveryError
+from lilacfront.recovery.settings import parse as parse_recovery
 from lilacfront.teams.settings import Teams, TeamsError
 from lilacfront.teams.settings import parse as parse_teams
 
@@ -135,6 +137,7 @@
     peer_keys: dict[int, bytes] = {}
     admin: tuple[str, int] | None = None  # where operators call
     passed_socket: int | None = None  # the descriptor of a socket that listens for clients already
+    recovery: Recovery = Recovery()  # what is kept for a power loss
     state_dir: str | None = None  # shared with other processes of this front end
 
 
@@ -236,6 +239,13 @@
         raise ConfigError(f"peers file: membership.keys: {problem}") from problem
 
 
+def _recovery(text: bytes) -> Recovery:
+    try:
+        return parse_recovery(text)
+    except RecoveryError as problem:
+        raise ConfigError(f"recovery file: {problem}") from problem
+
+
 def _optional(path: Path, name: str) -> bytes:
     """A file of our own; one that is not there says nothing."""
     try:
@@ -252,6 +262,7 @@
     gateway: bytes = b"",
     teams: bytes = b"",
     peers_file: bytes = b"",
+    recovery_file: bytes = b"",
 ) -> Config:
     """Check the platform's file; the environment's address and name go before those in it."""
     try:
@@ -305,6 +316,7 @@
         peer_listen=_address(raw.peer_listen, "peer_listen", 0) if raw.peer_listen else None,
         peers=peers,
         membership=membership,
+        recovery=_recovery(recovery_file),
         peer_keys=peer_keys,
         admin=_address(admin, admin_key, 0) if admin else None,
         passed_socket=int(passed) if passed else None,
@@ -314,7 +326,11 @@
 
 
 def load(
-    gateway_file: Path, teams_file: Path, peers_file: Path, environment: Mapping[str, str] = os.environ
+    gateway_file: Path,
+    teams_file: Path,
+    peers_file: Path,
+    recovery_file: Path,
+    environment: Mapping[str, str] = os.environ,
 ) -> Config:
     path = environment.get("PROXY_CONFIG", "")
     if not path:
@@ -324,4 +340,5 @@
     except OSError as problem:
         raise ConfigError(f"PROXY_CONFIG: {problem}") from problem
     gateway, teams = _optional(gateway_file, "gateway"), _optional(teams_file, "teams")
-    return parse(text, environment, gateway, teams, _optional(peers_file, "peers"))
+    peers, recovery = _optional(peers_file, "peers"), _optional(recovery_file, "recovery")
+    return parse(text, environment, gateway, teams, peers, recovery)
--- a/lilacfront/core/facade.py
+++ b/lilacfront/core/facade.py
@@ -69,6 +69,7 @@
         self.priority: int | None = None
         self.detail = b""
         self.offered = True  # to the decisions; False: it waits with its team
+        self.gated = False  # answered before any of them saw it
         self.out_since = self.ran_s = 0.0  # of the attempt that is out, and of those that are over and ran
         self.may_have_run = False
         self._bump: Callable[[int], None] | None = None
@@ -106,12 +107,22 @@
         self.on_shut: Callable[[int, bool], None] = lambda engine, gone: None
         self.on_tell: Callable[[int | None, bytes], None] = lambda peer, data: None
         self._unmet: set[str] = set()
+        # While the front end recovers: the answer of what is not taken yet; what a refusal tells of coming
+        # back, in milliseconds; and always, loads that go out (True) and have their answers (False).
+        self.gate: Callable[[Request], Final | None] = lambda request: None
+        self.comes_back: Callable[[Request, int], int] = lambda request, ms: ms
+        self.on_load: Callable[[Request, bool], None] = lambda request, out: None
 
     @property
     def busy(self) -> int:
         """Requests in hand."""
         return len(self._tickets)
 
+    @property
+    def cores(self) -> float:
+        """Of the engines that are ready."""
+        return sum(self._cores.values())
+
     # ---- the list of engines ------------------------------------------------------------------------
     def fleet(self, news: i.EngineList, addresses: Mapping[int, tuple[str, int]]) -> None:
         """Take news of the list; `addresses` tells where its engines listen."""
@@ -159,6 +170,9 @@
             at=self.loop.now,
             until=request.deadline,
         )
+        if (final := self.gate(request)) is not None:
+            ticket.gated, ticket.choice = True, final
+            return ticket
         if self.teams is None:
             self._offer(ticket)
             return ticket
@@ -194,7 +208,11 @@
 
     def _forget(self, ticket: Ticket) -> None:
         """The request has its final answer, and no attempt of it is out any more."""
-        if self._tickets.pop(ticket.number, None) is None or self.teams is None:
+        if self._tickets.pop(ticket.number, None) is None or ticket.gated:
+            return
+        if ticket.sent is not None and self._is_load(ticket):
+            self.on_load(ticket.request, False)
+        if self.teams is None:
             return
         if ticket.offered:
             ran = ticket.ran_s if ticket.may_have_run else None
@@ -202,6 +220,9 @@
         else:
             self._decided(self.teams.leave(self.loop.now, ticket.number))
 
+    def _is_load(self, ticket: Ticket) -> bool:
+        return self.settings.classes[ticket.request.cls].effect is i.Effect.UNSAFE
+
     def set_teams(self, teams: Teams) -> None:
         """Go by other teams from now on; what waits goes on waiting."""
         assert self.teams is not None
@@ -370,9 +391,11 @@
             case i.Send():
                 until = action.until_us / 1e6 if action.until_us else ticket.request.deadline
                 number = ticket.sent.attempt + 1 if ticket.sent is not None else 0
+                if self._is_load(ticket):
+                    self.on_load(ticket.request, True)
                 self._settle(ticket, Chosen(self._open[action.engine], number, ticket.priority, until))
             case i.Refuse():
-                self._settle(ticket, Refused(action.retry_after_us // 1000))
+                self._settle(ticket, Refused(self.comes_back(ticket.request, action.retry_after_us // 1000)))
             case i.Fail():
                 late = self.loop.now >= ticket.request.deadline - OVERDUE_S
                 self._settle(ticket, Failed(late, ticket.detail))
--- a/lilacfront/lab/faults.py
+++ b/lilacfront/lab/faults.py
@@ -12,6 +12,7 @@
 
 from lilacfront.peers.codec import Ack, Ask, CodecError, News, Ping, State, decode, encode
 from lilacfront.peers.settings import Membership
+from lilacfront.recovery.settings import Recovery
 
 LIES_MOST = 26  # news in one message of a liar
 
@@ -48,6 +49,7 @@
     # Of real processes alone:
     warehouses: int = 0
     requests_per_s: float = 0.0  # lookups that each front end is sent
+    recovery: Recovery = Recovery()  # any directory turns it on; each front end has its own
     old: list[int] = []  # members that run without membership, as an earlier version does
 
     def expanded(self) -> list[Fault]:
--- a/lilacfront/lab/fleet.py
+++ b/lilacfront/lab/fleet.py
@@ -18,7 +18,7 @@
 from lilacfront.lab.faults import Fault, Script
 from lilacfront.lab.relay import Relays
 from lilacfront.lab.score import Outcome, Scorer
-from lilacfront.lab.world import PATIENCE_S, SETTINGS, Client, Process, World, until
+from lilacfront.lab.world import COMMAND, PATIENCE_S, SETTINGS, Client, Process, World, until
 
 LOOK_S = 0.25  # between two looks at all views
 STATES = ("alive", "suspect", "dead", "left")
@@ -38,6 +38,13 @@
     return f"[membership]\n{lines(told)}\n[membership.uses]\n{lines(uses)}"
 
 
+def recovery_file(script: Script, disk: Path) -> str:
+    """The TOML of a script's [recovery], with a directory of this front end's own."""
+    told = {**msgspec.to_builtins(script.recovery), "directory": str(disk)}
+    lines = "".join(f"{key} = {msgspec.json.encode(value).decode()}\n" for key, value in told.items())
+    return f"[recovery]\n{lines}"
+
+
 class Caller(threading.Thread):
     """Asks one front end for a lookup now and then; each on a connection that it keeps while it can."""
 
@@ -84,12 +91,17 @@
         known = {"seq": 1, "results": [{"seq": 1, "fleet": {"reset": True, "instances": instances}}]}
         self.worlds: list[World] = []
         self.files: list[Path] = []
+        self.disks: list[Path] = []  # of front ends that keep something for a power loss
         for n in range(members):
             home = folder / str(n)
             home.mkdir()
             file = home / "peers.toml"
             file.write_text(peers_file(script, script.membership.on and n not in script.old))
             self.files.append(file)
+            if script.recovery.on:
+                self.disks.append(home / "disk")
+                self.disks[n].mkdir()
+                (home / "recovery.toml").write_text(recovery_file(script, self.disks[n]))
             limits = {**SETTINGS["policy-limits"], "may-tell": True}
             settings = {**SETTINGS, "instances": members, "slot-no": n, "policy-limits": limits}
             self.worlds.append(
@@ -109,11 +121,15 @@
         self.starting: set[int] = set()  # until they answer
         self.gone: set[int] = set()
         self.callers: list[Caller] = []
+        self.commands: dict[int, list[str]] = {}  # of front ends that are started in a way of their own
         for n in range(members):
             self.processes.append(self._process(n))
 
     def _process(self, n: int) -> Process:
-        return self.worlds[n].start(options=["--peers", str(self.files[n])])
+        options = ["--peers", str(self.files[n])]
+        if self.disks:
+            options += ["--recovery", str(self.disks[n].parent / "recovery.toml")]
+        return self.worlds[n].start(options=options, command=self.commands.get(n, COMMAND))
 
     def ready(self) -> Fleet:
         """All are ready, and all that follow each other have heard each other."""
@@ -161,6 +177,18 @@
         self.starting.add(n)
         self.relays.dead.discard(n)
 
+    def blackout(self) -> None:
+        """The power goes: all front ends end at once, and what they kept in memory is gone."""
+        for n, process in enumerate(self.processes):
+            if n not in self.gone:
+                process.signal(signal.SIGKILL)
+        for n, process in enumerate(self.processes):
+            process.ended()
+            self.gone.add(n)
+            self.relays.dead.add(n)
+            for file in (self.worlds[n].folder / "tmp").iterdir():
+                file.unlink()
+
     def stop(self, n: int) -> None:
         self.processes[n].signal(signal.SIGSTOP)
         self.stopped.add(n)
--- a/lilacfront/lab/world.py
+++ b/lilacfront/lab/world.py
@@ -125,7 +125,7 @@
     def _run(self, task: Task, stream: Stream) -> None:
         got = stream.read(task, self.loop.now + IDLE_S)
         if isinstance(got, bytes) and got.startswith(b"since "):
-            for event in self.events[int(got[6:]) - self.first + 1 :]:
+            for event in self.events[max(0, int(got[6:]) - self.first + 1) :]:
                 stream.write(event)
             stream.write(b"%d\n" % self.seq)
             self.followers.append(stream)
@@ -134,6 +134,22 @@
             self.followers.remove(stream)
         stream.close()
 
+    def shut(self) -> None:
+        """Out of reach: connections are refused, those that are open end."""
+        self.listener.close()
+        for stream in list(self.followers):
+            stream.close()
+
+    def reopen(self) -> None:
+        self.listener = Listener(
+            self.loop, self.listener.address, CONNECTIONS_MOST, QUEUED_MOST, self._accept
+        )
+
+    def restart(self, *instances: dict[str, Any]) -> None:
+        """It has lost all, and counts from 1 again, beginning with this list."""
+        event = {"seq": 1, "fleet": {"reset": True, "instances": instances}}
+        self.first, self.events = 0, [b"", json.dumps(event).encode() + b"\n"]
+
     def tell(self, *instances: dict[str, Any]) -> None:
         event = {"seq": self.seq + 1, "fleet": {"instances": instances}}
         self.events.append(json.dumps(event).encode() + b"\n")
@@ -228,9 +244,15 @@
         path.write_text(json.dumps(text))
         return path
 
-    def start(self, passed: bool = True, options: Sequence[str] = (), **environment: str) -> Process:
+    def start(
+        self,
+        passed: bool = True,
+        options: Sequence[str] = (),
+        command: Sequence[str] = COMMAND,
+        **environment: str,
+    ) -> Process:
         """Start one more process of the front end; `options` go behind `serve`."""
-        process = Process(self, passed, environment, options)
+        process = Process(self, passed, environment, options, command)
         self.processes.append(process)
         return process
 
@@ -261,7 +283,12 @@
     """One process of the front end, with the operators' address and its log lines."""
 
     def __init__(
-        self, world: World, passed: bool, environment: dict[str, str], options: Sequence[str] = ()
+        self,
+        world: World,
+        passed: bool,
+        environment: dict[str, str],
+        options: Sequence[str],
+        command: Sequence[str],
     ) -> None:
         # Bound and not listening, so that no other socket is given the port before the process takes it.
         self._keeper = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -279,7 +306,7 @@
             env["PROXY_PASSED_SOCKET"] = str(world.door.fileno())
         self.lines: list[dict[str, Any]] = []
         self.popen = subprocess.Popen(
-            [*COMMAND, "serve", *options],
+            [*command, "serve", *options],
             env=env,
             stderr=subprocess.PIPE,
             pass_fds=[world.door.fileno()] if passed else [],
--- a/lilacfront/membership/changelog.py
+++ b/lilacfront/membership/changelog.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 
 import msgspec
@@ -57,11 +58,29 @@
         # Guard: what the log told while this program started counts as told. Until that has had its time to
         # come, a request could be sent to a warehouse that drains.
         self.caught_up = False
+        self.told = False  # the log itself has said what it has, in this life
+        # After how long behind what is held a log counts as numbered anew (0: never), and what is done then.
+        self.renumbered_s = 0.0
+        self.on_anew: Callable[[], None] = lambda: None
+        self._behind_since = math.inf
         loop.at(loop.now + WITHOUT_S, self._go_without)
 
     def _go_without(self) -> None:
         self.caught_up = True
 
+    def _behind(self, number: int) -> bool:
+        """Whether the log, being at `number`, is taken to count from 1 again; it is then asked for all."""
+        if self.renumbered_s <= 0 or number >= self.seq:
+            self._behind_since = math.inf
+            return False
+        self._behind_since = min(self._behind_since, self.loop.now)
+        if self.loop.now - self._behind_since < self.renumbered_s:
+            return False
+        log.warning("the change log counts anew", held=self.seq, told=number)
+        self.seq, self._behind_since = 0, math.inf
+        self.on_anew()
+        return True
+
     def move(self, address: tuple[str, int]) -> None:
         """Follow the log at this address from now on, from the last event taken."""
         if address != self.address:
@@ -110,9 +129,14 @@
                 log.warning("change log line too long", most_bytes=LINE_MOST)
                 return
             for line in filter(None, (one.strip() for one in lines)):
-                if not self._take(self._decode(line)):
+                event = self._decode(line)
+                if not self._take(event):
                     return
-                self.caught_up = self.caught_up or line.isdigit()
+                if isinstance(event, int):
+                    if self._behind(event):
+                        return
+                    self.told = self.told or event >= self.seq
+                    self.caught_up = True
 
     @staticmethod
     def _decode(line: bytes) -> Event | int:
--- a/lilacfront/operations/desk.py
+++ b/lilacfront/operations/desk.py
@@ -37,9 +37,10 @@
         apply: Callable[[Said], None],
         save: Callable[[], None],
         peers: Callable[[], list[str] | None] = lambda: None,
+        note: Callable[[], str] = lambda: "",
     ) -> None:
         self.token, self.clock, self.stage = token, clock, stage
-        self._apply, self._save, self._peers = apply, save, peers
+        self._apply, self._save, self._peers, self._note = apply, save, peers, note
         self.said: dict[str, Said] = {}
         self.known: dict[str, None] = {}  # ids that the list has ever told of, the latest last
         self.paused_at = math.inf
@@ -89,6 +90,7 @@
         if out := self.suspended:
             more = f" and {len(out) - 8} more" if len(out) > 8 else ""
             text += f"; left out: {', '.join(out[:8])}{more}"
+        text += self._note()
         return Answer(stage is Stage.READY, text)
 
     def _suspend(self, name: str) -> Answer:
@@ -125,6 +127,20 @@
         """Take what another process has been told; True where anything of it is news."""
         return self._take(records)
 
+    def adopt(self, records: Iterable[Said]) -> bool:
+        """Take words of before a loss that others kept; True where anything of it is news.
+
+        What was said to this process itself goes before them, whatever their numbers: it came later.
+        """
+        older, again = [], []
+        for one in records:
+            mine = self.said.get(one.name)
+            if mine is None or mine.by != self.token:
+                older.append(one)
+            elif one.beats(mine):
+                again.append(Said(one.name, one.number + 1, self.token, mine.on, mine.since, mine.at))
+        return self._take([*older, *again])
+
     def _take(self, records: Iterable[Said]) -> bool:
         news = merge(self.said, records)
         for one in news:
--- a/lilacfront/operations/service.py
+++ b/lilacfront/operations/service.py
@@ -38,7 +38,10 @@
     `accepts(yes)` opens or shuts the clients' door; `followed()`: the list is up to date, `seq()`: to
     which event; `pass_on(channel)`
     has its connections pass to another process; `learnt()` is what
-    the decisions have found out, `teach(told, age_s)` has them begin with what another process's did."""
+    the decisions have found out, `teach(told, age_s)` has them begin with what another process's did.
+    `said(record)` is told every word that newly holds; `recovering()`: whether nothing is served
+    yet; `note()` what STATUS says of that; `keeps`: words outlast this process elsewhere, so that calls
+    back are not forgotten."""
 
     def __init__(
         self,
@@ -54,12 +57,17 @@
         pass_on: Callable[[Channel], None] = lambda channel: None,
         peers: Callable[[], list[str] | None] = lambda: None,
         seq: Callable[[], int] = lambda: 0,
+        said: Callable[[Said], None] = lambda record: None,
+        recovering: Callable[[], bool] = lambda: False,
+        note: Callable[[], str] = lambda: "",
+        keeps: bool = False,
         learnt: Callable[[], Learnt] = Learnt,
         teach: Callable[[Learnt, float], None] = lambda told, age_s: None,
     ) -> None:
         self.loop, self.name = loop, name
         self._told, self._share, self._departs, self._accepts = told, share, departs, accepts
         self._pass_on = pass_on
+        self._said, self._recovering, self._keeps = said, recovering, keeps
         self._listed, self._learnt, self._teach, self._seq = followed, learnt, teach, seq
         self._reached = False
         self._floor = 0  # the last event that another process had taken when this one started
@@ -69,7 +77,7 @@
         self.maintenance = Maintenance()
         self._numbers: dict[int, str] = {}
         token = f"{os.getpid():x}-{time.time_ns():x}"
-        self.desk = Desk(token, lambda: loop.now, self.stage, self._apply, self.save, peers)
+        self.desk = Desk(token, lambda: loop.now, self.stage, self._apply, self.save, peers, note)
         self.handover = Handover(directory, name, token) if directory else None
         self.counter: Counter | None = None
         self.door: Door | None = None
@@ -98,6 +106,9 @@
         return Stage.READY if self._followed() else Stage.STARTING
 
     def _followed(self) -> bool:
+        return not self._recovering() and self._caught_up()
+
+    def _caught_up(self) -> bool:
         """Guard: with a log that comes late this process must not be ready behind what another one had taken.
 
         Waited for once and only so long: the log may have been numbered anew.
@@ -144,6 +155,7 @@
 
     def _apply(self, record: Said) -> None:
         """A record holds from now on, said here or to another process."""
+        self._said(record)
         if record.name == PAUSED:
             if not self.leaving:
                 self._depart(Drain(record.at, drain.PAUSE) if record.on else None)
@@ -294,7 +306,8 @@
                 del self._pages[token]
             self.save(bury=True)
         self._changed()
-        for name in self.desk.tidy(not self.shares > 1, FORGET_S):
+        # Guard: a call back that is forgotten here would be outlived by the suspension that a peer keeps.
+        for name in self.desk.tidy(not (self.shares > 1 or self._keeps), FORGET_S):
             self.maintenance.forget(engine_number(name))
         if self.stage() is not self._saved_stage:
             self.save()
--- a/lilacfront/peers/codec.py
+++ b/lilacfront/peers/codec.py
@@ -132,7 +132,41 @@
     count: int
 
 
-Item = News | Mark | Ping | Ack | Ask | Loads | Doubts | Lost | Living
+class Kind(IntEnum):
+    """Of state that is fetched in parts."""
+
+    WORDS = 1  # what operators said to its sender
+    KEPT = 2  # what the sender keeps of its addressee's
+    READY = 3  # the sender's list: its number, and the warehouses that are ready
+
+
+@dataclass(slots=True, frozen=True)
+class Digest:
+    """What stage of recovery the sender is in, its list's number, and state to be had of it."""
+
+    stage: int
+    seq: int
+    offers: tuple[tuple[int, int, int], ...]  # kind, CRC-32, length
+
+
+@dataclass(slots=True, frozen=True)
+class Fetch:
+    """Send the part from `offset` on of the state with this check."""
+
+    kind: int
+    check: int
+    offset: int
+
+
+@dataclass(slots=True, frozen=True)
+class Part:
+    kind: int
+    check: int
+    offset: int
+    data: bytes
+
+
+Item = News | Mark | Ping | Ack | Ask | Loads | Doubts | Lost | Living | Digest | Fetch | Part
 LOW = 0x3F
 MARK = struct.Struct(">HB")
 DOUBT = struct.Struct(">IBB")
@@ -140,7 +174,24 @@
 BLOCK_MEMBERS = 16
 MAPPED = 256 * BLOCK_MEMBERS  # members that blocks can name; others go as marks
 LIVING = struct.Struct(">H")
-KINDS = {Ping: 1, Ack: 2, Ask: 3, News: 4, Loads: 5, Doubts: 6, Mark: 7, Lost: 8, Living: 9}
+DIGEST = struct.Struct(">BI")
+OFFER = struct.Struct(">BIH")
+FETCH = struct.Struct(">BIH")
+KINDS = {
+    Ping: 1,
+    Ack: 2,
+    Ask: 3,
+    News: 4,
+    Loads: 5,
+    Doubts: 6,
+    Mark: 7,
+    Lost: 8,
+    Living: 9,
+    Digest: 10,
+    Fetch: 11,
+    Part: 12,
+}
+PROBES = (Ping, Ack, Ask)
 
 
 @dataclass(slots=True, frozen=True)
@@ -182,6 +233,13 @@
                 yield KINDS[Lost], bytes([state]) + b"".join(packed)
             case Living(count):
                 yield KINDS[Living], LIVING.pack(count)
+            case Digest(stage, seq, offers):
+                packed = (OFFER.pack(*offer) for offer in offers)
+                yield KINDS[Digest], DIGEST.pack(stage, seq & 0xFFFFFFFF) + b"".join(packed)
+            case Fetch(kind, check, offset):
+                yield KINDS[Fetch], FETCH.pack(kind, check, offset)
+            case Part(kind, check, offset, data):
+                yield KINDS[Part], FETCH.pack(kind, check, offset) + data
 
 
 def size(item: Item) -> int:
@@ -267,6 +325,21 @@
             if len(body) != LIVING.size:
                 raise CodecError("a count of another length")
             yield Living(*LIVING.unpack(body))
+        case 10:
+            if len(body) < DIGEST.size or (len(body) - DIGEST.size) % OFFER.size:
+                raise CodecError("a digest of another length")
+            offers = tuple(OFFER.iter_unpack(body[DIGEST.size :]))
+            stage, seq = DIGEST.unpack_from(body)
+            yield Digest(stage, seq, offers)
+        case 11:
+            if len(body) != FETCH.size:
+                raise CodecError("a fetch of another length")
+            yield Fetch(*FETCH.unpack(body))
+        case 12:
+            if len(body) < FETCH.size:
+                raise CodecError("a part of another length")
+            kind, check, offset = FETCH.unpack_from(body)
+            yield Part(kind, check, offset, body[FETCH.size :])
 
 
 class Seen:
--- a/lilacfront/peers/detector.py
+++ b/lilacfront/peers/detector.py
@@ -29,18 +29,22 @@
     MESSAGE_MOST,
     NEWS,
     PROBE,
+    PROBES,
     TAG,
     Ack,
     Ask,
     Block,
     CodecError,
+    Digest,
     Doubts,
+    Fetch,
     Item,
     Living,
     Lost,
     Mark,
     Message,
     News,
+    Part,
     Ping,
     Seen,
     State,
@@ -86,6 +90,7 @@
 HIGHEST = 0xFFFFFFFF
 
 Send = tuple[int, bytes]
+Rides = Living | Doubts | Digest | Fetch | Part
 
 
 class Rider(Protocol):
@@ -93,7 +98,9 @@
 
     def offer(self, now: float, room: int) -> Iterable[Item]: ...
 
-    def take(self, now: float, teller: int, item: Living | Doubts) -> None: ...
+    def take(self, now: float, teller: int, item: Rides) -> Iterable[Item]:
+        """What is to be said to the teller at once."""
+        ...
 
 
 @dataclass(slots=True)
@@ -168,6 +175,15 @@
         self._key = next(iter(keys.items()), None)
         self._room = MESSAGE_MOST - HEAD.size - (TAG if keys else 0)
 
+    def least_incarnation(self, least: int) -> None:
+        """Live in this incarnation at the least: an earlier life's is known to have been below it.
+
+        Guard: after a clock that was set back, a new life's would be lower, and nobody would believe it.
+        """
+        if self.incarnation < least < HIGHEST >> 1:
+            self.incarnation, self._numbers = least, 0
+            self.view.take(News(self.own, least, State.ALIVE), self._clock, "lived before")
+
     # ---- what is known of this front end itself -----------------------------------------------------
     def alone(self, now: float) -> bool:
         """Whether this front end may be the one that is cut off, or has just stood still."""
@@ -404,8 +420,9 @@
                     held_at = self.view.incarnations[member]
                     if held_at & LOW == low and state is not State.ALIVE:
                         self._accept(News(member, held_at, state), place, now)
-                case Living() | Doubts() if self.rider is not None:
-                    self.rider.take(now, place, item)
+                case Living() | Doubts() | Digest() | Fetch() | Part() if self.rider is not None:
+                    for said in self.rider.take(now, place, item):
+                        sends += self.tell(now, place, said)
                 case Lost(state) if state is not State.ALIVE:
                     differ = self._accept_map(item, place, now)[:DIFFER_MOST]
                     if differ and now - self._told_at[place] >= TOLD_S:
@@ -561,6 +578,12 @@
         return [one for peer in self._some(now, REFUTE) for one in self._send(now, peer)]
 
     # ---- sending -------------------------------------------------------------------------------------------
+    def tell(self, now: float, peer: int, item: Item) -> list[Send]:
+        """One item of the rider's to one member, where the rate has room to spare."""
+        if self.left or peer == self.own:
+            return []
+        return self._send(now, peer, item, spare=True, bare=True)
+
     def _gossip(self, now: float) -> list[Send]:
         if not self._told:
             return []
@@ -584,7 +607,8 @@
         rate = self.settings.bytes_per_s
         self._tokens = min(rate * BURST_S, self._tokens + rate * (now - self._tokens_at))
         self._tokens_at = now
-        base = HEAD.size + (TAG if self._keys else 0) + HEADERS + len(items) * (ITEM + PROBE.size)
+        sized = sum(ITEM + PROBE.size if isinstance(one, PROBES) else size(one) for one in items)
+        base = HEAD.size + (TAG if self._keys else 0) + HEADERS + sized
         # Guard: probes and their answers go before news. Without them members that live would be given up,
         # and to refute that would take yet more news.
         left = self._tokens - base - KEPT * rate * BURST_S
@@ -592,9 +616,9 @@
         worth = min(self._room, ITEM + len(self._told) * MARK.size)
         if self._tokens < base or (spare and left < worth):
             return []
-        fits = min(self._room - len(items) * (ITEM + PROBE.size), int(max(left, ITEM + NEWS.size))) - 2 * ITEM
+        fits = min(self._room - sized, int(max(left, ITEM + NEWS.size))) - 2 * ITEM
         news = list(self._news(peer, fits, now, bare, whole))
-        if spare and not news:
+        if spare and not news and not items:
             return []
         self._numbers += 1
         message = Message(
--- a/lilacfront/peers/service.py
+++ b/lilacfront/peers/service.py
@@ -63,7 +63,7 @@
             log.warning("warehouse not doubted any more", warehouse=self._name_of(engine))
         self._doubted = doubted
 
-    def _out(self, sends: list[Send]) -> None:
+    def out(self, sends: list[Send]) -> None:
         for member, data in sends:
             self._send(member, data)
 
@@ -72,7 +72,7 @@
         if data[:1] != bytes([VERSION]):
             self._others(place, data)
             return
-        self._out(self.detector.heard(self.loop.now, place, data))
+        self.out(self.detector.heard(self.loop.now, place, data))
         if self._task is not None:
             self._task.wake(None)  # something may be due earlier now
 
@@ -80,7 +80,7 @@
         self._task = task
         while True:
             self.loop.wait(task, self.detector.due())
-            self._out(self.detector.tick(self.loop.now))
+            self.out(self.detector.tick(self.loop.now))
             self.use.look(self.loop.now)
             alone = self.detector.alone(self.loop.now)
             if alone is not self._alone:
@@ -90,11 +90,11 @@
     def leave(self) -> None:
         """This front end takes no more clients: it says so."""
         if not self.detector.left:
-            self._out(self.detector.leave(self.loop.now))
+            self.out(self.detector.leave(self.loop.now))
 
     def come_back(self) -> None:
         if self.detector.left:
-            self._out(self.detector.come_back(self.loop.now))
+            self.out(self.detector.come_back(self.loop.now))
 
     def stop(self) -> None:
         """Another process of this front end speaks for it from now on."""
--- a/lilacfront/peers/use.py
+++ b/lilacfront/peers/use.py
@@ -11,7 +11,7 @@
 
 from lilacfront.peers import doubts as doubting
 from lilacfront.peers.codec import DOUBT, ITEM, LIVING, Doubts, Item, Living, State
-from lilacfront.peers.detector import Detector
+from lilacfront.peers.detector import Detector, Rider, Rides
 from lilacfront.peers.settings import Uses
 from lilacfront.peers.tier import Tier
 
@@ -41,6 +41,7 @@
         self._looked_at = -LOOK_S
         self._seen = (tier.count, frozenset[int]())
         detector.rider = self
+        self.further: Rider | None = None  # what else travels in the messages
 
     # ---- messages -----------------------------------------------------------------------------------
     def offer(self, now: float, room: int) -> Iterator[Item]:
@@ -49,13 +50,20 @@
             yield Living(min(self.tier.wanted, 0xFFFF))
         most = min(doubting.TOLD_MOST, (room - ITEM) // DOUBT.size)
         if self.doubts.on and most > 0 and (told := self.doubts.tell(int(now * 1e6), most)):
+            room -= ITEM + DOUBT.size * len(told)
             yield Doubts(told)
+        if self.further is not None:
+            yield from self.further.offer(now, room)
 
-    def take(self, now: float, teller: int, item: Living | Doubts) -> None:
-        if isinstance(item, Living):
-            self._counts[teller] = item.count
-        else:
-            self.doubts.heard(teller, item.engines, int(now * 1e6))
+    def take(self, now: float, teller: int, item: Rides) -> Iterable[Item]:
+        match item:
+            case Living(count):
+                self._counts[teller] = count
+            case Doubts(engines):
+                self.doubts.heard(teller, engines, int(now * 1e6))
+            case _ if self.further is not None:
+                return self.further.take(now, teller, item)
+        return ()
 
     # ---- what is made of it -------------------------------------------------------------------------
     def _told(self, now: float) -> Iterable[int]:
--- a/lilacfront/server.py
+++ b/lilacfront/server.py
@@ -9,8 +9,9 @@
 import signal
 import socket
 import stat
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from contextlib import contextmanager
+from typing import TYPE_CHECKING
 
 from msgspec.structs import replace
 
@@ -27,6 +28,7 @@
 from lilacfront.membership.fleet import Fleet, Roster
 from lilacfront.operations.drain import Drain
 from lilacfront.operations.learnt import learnt, teach
+from lilacfront.operations.record import Said
 from lilacfront.operations.service import Operations
 from lilacfront.peers.link import PeerLink
 from lilacfront.peers.service import Members
@@ -36,6 +38,9 @@
 from lilacfront.warehouses.clickhouse import HttpWarehouses
 from lilacfront.warehouses.resp import RespWarehouses
 
+if TYPE_CHECKING:
+    from lilacfront.recovery.service import Recoverer
+
 log = Log(__name__)
 TIDY_S = 5.0  # between two times that free pages go back to the system; that takes half a millisecond
 LEAVE_S = 0.8  # after SIGTERM new connections and requests still come; later than this none does
@@ -44,6 +49,7 @@
 KILL_S, KILL_DEADLINE_MOST_S, KILL_MARGIN_S = 0.7, 3.0, 0.2
 HANDOVER_DEADLINE_MOST_S = 5.0  # the same, where a new process takes over
 SWEEP_S = 0.05  # between two looks at clients' connections that have to end
+RECALL_TURN_S = 0.01  # between two looks at whether the disk has been read
 PEERS_AGAIN_S = 0.5  # between two tries for an address at which peers are heard
 
 
@@ -109,6 +115,7 @@
                 settings.instances,
             )
         self.facade.on_shut = self.attempts.shut
+        self.recovery: Recoverer | None = None
         self.listeners: list[Listener] = []
         self.peers: PeerLink | None = None
         self.operations = Operations(
@@ -123,13 +130,19 @@
             pass_on=lambda channel: self.front.pass_on(channel),
             seq=lambda: 0 if self.changelog is None else self.changelog.seq,
             peers=lambda: None if self.members is None else self.members.lines(),
+            said=lambda record: None if self.recovery is None else self.recovery.said(record),
+            recovering=lambda: self.recovery is not None and self.recovery.silent,
+            note=lambda: "" if self.recovery is None else self.recovery.note(),
+            keeps=config.recovery.on,
             learnt=lambda: learnt(self.facade.gateway),
             teach=lambda told, age_s: teach(self.facade.gateway, told, age_s),
         )
         self.changelog: ChangeLog | None = None
+        if config.recovery.on:
+            self.recovery = self._recoverer()
         for event in config.known.results:
             if event.fleet is not None:
-                self.heard(event.fleet)
+                self.heard(event.fleet, event.seq)
         classes = {
             name.encode(): (n, settings.classes[n].deadline_us / 1e6)
             for n, name in enumerate(config.class_names)
@@ -176,6 +189,8 @@
                 self.facade.gateway.doubts,
                 self._address_of,
             )
+            if self.recovery is not None:
+                self.recovery.follow(self.members)
             self.loop.spawn(self.members.run)
         if (settings.limits.tell or self.members is not None) and config.peer_listen is not None:
             self._link(config.peer_listen)
@@ -186,7 +201,11 @@
             self.loop.spawn(watch.run)
         elif config.changelog is not None:
             self.changelog = ChangeLog(self.loop, config.changelog, config.known.seq, self.heard)
-            self.loop.spawn(self.changelog.run)
+            if self.recovery is None:
+                self.loop.spawn(self.changelog.run)
+            else:
+                self.changelog.renumbered_s = config.recovery.renumbered_s
+                self.changelog.on_anew = self.recovery.anew
 
         if config.admin is not None:
             with self._usable("PROXY_ADMIN or admin", config.admin):
@@ -194,6 +213,8 @@
         self.operations.on_connection, self.operations.on_connections_lost = front.heard, front.lost
         self.operations.start()
         self.loop.spawn(self.operations.run)
+        if self.recovery is not None:
+            self.loop.spawn(self._recover)
 
     @contextmanager
     def _usable(self, key: str, address: tuple[str, int]) -> Iterator[None]:
@@ -221,7 +242,56 @@
         """What a person knows a warehouse by."""
         return "{}:{}".format(*self.roster.addresses.get(engine, ("unknown", engine)))
 
-    def heard(self, fleet: Fleet) -> None:
+    # ---- recovery from a power loss -------------------------------------------------------------------
+    def _recoverer(self) -> Recoverer:
+        # Guard: off, as on the platform, it costs neither the start nor memory.
+        from lilacfront.recovery.service import Recoverer
+
+        config, gateway = self.config, self.facade.gateway
+        return Recoverer(
+            self.loop,
+            config.recovery,
+            config.name,
+            config.settings,
+            self.facade,
+            config.seed,
+            list_known=lambda: config.known.seq if self.changelog is None else self.changelog.seq,
+            tell=self._hear,
+            follow_from=self._follow_from,
+            adopt=self._adopt,
+            log_told=lambda: self.changelog is None or self.changelog.told,
+            learnt=lambda: learnt(gateway),
+            teach=lambda told, age_s: teach(gateway, told, age_s),
+            cores=lambda: self.facade.cores,
+            count=lambda: gateway.tier.count,
+        )
+
+    def _adopt(self, words: Iterable[Said]) -> None:
+        if self.operations.desk.adopt(words):
+            self.operations.save()
+
+    def _follow_from(self, seq: int) -> None:
+        if self.changelog is not None:
+            self.changelog.seq = max(seq, self.changelog.seq)
+
+    def _recover(self, task: Task) -> None:
+        """The log is asked from what the disk holds on, once that is known or waited for no longer."""
+        assert self.recovery is not None
+        self.loop.spawn(self.recovery.run)
+        while not self.recovery.recalled:
+            self.loop.sleep(task, self.loop.now + RECALL_TURN_S)
+        if self.changelog is not None:
+            self.loop.spawn(self.changelog.run)
+
+    def heard(self, fleet: Fleet, seq: int | None = None) -> None:
+        """News of the list's source; the log's come one by one, in order."""
+        if self.recovery is not None:
+            if seq is None:
+                seq = 0 if self.changelog is None else self.changelog.seq + 1
+            self.recovery.heard(seq, fleet)
+        self._hear(fleet)
+
+    def _hear(self, fleet: Fleet) -> None:
         news, addresses = self.roster.news(fleet)
         ids = [one.instance_id for one in fleet.instances if one.instance_id]
         self.facade.fleet(self.operations.news(news, ids), addresses)
@@ -350,6 +420,8 @@
             listener.close()
         if self.peers is not None:
             self.peers.close()
+        if self.recovery is not None:
+            self.recovery.close()
         self.operations.close()
         self.loop.close()
 
