Members: a thousand no longer ask one suspect at once, so that it can refute

Change: each one that is held dead is asked by 8 members in that time on the mean; halves that hold each other dead ask as before. A test asks one detector 4,000 times; it fails without the change.

--- a/lilacfront/peers/detector.py
+++ b/lilacfront/peers/detector.py
@@ -66,6 +66,7 @@
 SELF = 1  # further pings where nobody else is asked
 STRIDES = 4  # tried for one that lives, before any of them is drawn
 AGAIN = 4  # every so many probes one goes to a member held dead
+DEAD_ASKERS = 8  # members that ask each one held dead in that time, on the mean
 GOSSIP_S = 0.2  # between two rounds of telling
 FANOUT = 2  # members told in a round
 TELL = 1.5  # times log2 of the members that news is told before it rests
@@ -315,7 +316,11 @@
         Clocks that differ only make it chance again.
         """
         self._probed += 1
-        if self._probed % AGAIN == 0 and self.view.counts[State.DEAD]:
+        held_dead = self.view.counts[State.DEAD]
+        # Guard: a thousand that each ask the one that is held dead would use up its rate in answers, and it
+        # could not refute. Two halves that hold each other dead are all asked.
+        asks = self._random.random() * self.view.living < DEAD_ASKERS * held_dead
+        if self._probed % AGAIN == 0 and held_dead and asks:
             dead = [m for m in range(self.members) if self.view.states[m] == State.DEAD]
             return self._random.choice(dead)
         # While many fail, those that are suspect already are left to their time.
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -200,6 +200,18 @@
     assert here.refused != before  # member 41 of 40
 
 
+def test_a_thousand_do_not_all_ask_the_one_that_is_held_dead_but_half_of_them_do_ask_the_other_half() -> None:
+    """Guard: its answers would use up its rate, and it could not refute."""
+    for dead, most in ((1, 60), (512, 1100)):
+        view = View(1024, 0, 0.0)
+        detector = Detector(view, Membership(on=True), 5, 0.0, lambda: 1.0e9)
+        for member in range(1, 1 + dead):
+            view.take(News(member, 1, State.DEAD), 0.0, "test")
+        asked = [detector._target(step) for step in range(4000)]
+        count = sum(one is not None and 1 <= one <= dead for one in asked)
+        assert most / 10 < count <= most if dead > 1 else count <= most
+
+
 def test_back_at_once_under_the_same_name_with_the_clock_set_back() -> None:
     out = play(12, 30, Fault(at=10, do="kill", who=[4]), Fault(at=10.05, do="start", who=[4], clock=-86400.0))
     assert out.agreed_at <= 10.0 and out.counts[-1][1:] == (12, 12, 12)
