--- a/tests/test_blackout.py
+++ b/tests/test_blackout.py
@@ -327,3 +327,24 @@
         opened(made, 0)
         assert ask(made, 0)
         assert socket.create_connection(made.worlds[0].listen, timeout=5)
+
+
+def test_a_process_that_takes_over_takes_the_files_once_the_old_one_has_ended(tmp_path: Path) -> None:
+    with fleet(tmp_path, 1, peers=False) as made:
+        old = made.processes[0]
+        opened(made, 0)
+        suspend(made, 0, "s-1")
+        new = made._process(0)
+        new.until("nothing is kept yet")
+        new.until("recovery", stage="open", dark=False)  # an ordinary restart: another of its processes lives
+        new.ready()
+        assert not new.logged("recovery", stage="reads")
+        old.signal(signal.SIGTERM)
+        assert old.ended() == 0
+        new.until("recalled", words=1, in_order=True)
+        made.processes[0] = new
+        assert new.call("STATUS") == "ok ready; left out: s-1"
+        suspend(made, 0, "s-2")  # from now on it is the new one that writes
+        made.blackout()
+        wake(made, 0)
+        assert made.processes[0].call("STATUS") == "ok ready; left out: s-1, s-2"
