Recovery: one way to number a warehouse, a test of the model that can fail

Cause: on a last reading exchange.py hashed ids as membership/fleet.py does, held a constant that nothing used, and a test compared in a way that NaN let pass. Change: engine_number is used; the test compares curves and falls.

--- a/lilacfront/recovery/exchange.py
+++ b/lilacfront/recovery/exchange.py
@@ -11,12 +11,12 @@
 import zlib
 from collections.abc import Callable, Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
-from hashlib import blake2b
 
 import msgspec
 
+from lilacfront.membership.fleet import engine_number
 from lilacfront.operations.record import Said
-from lilacfront.peers.codec import DIGEST, FETCH, ITEM, OFFER, Digest, Fetch, Item, Kind, Part
+from lilacfront.peers.codec import DIGEST, ITEM, OFFER, Digest, Fetch, Item, Kind, Part
 from lilacfront.peers.detector import Rides
 
 STATE_MOST = 0xFFFF  # bytes of one piece of state; a longer one is not told
@@ -38,7 +38,8 @@
 
 
 def short(instance_id: str) -> int:
-    return int.from_bytes(blake2b(instance_id.encode(), digest_size=8).digest(), "big") & SHORT
+    """Of a warehouse's number, what is told."""
+    return engine_number(instance_id) & SHORT
 
 
 def ready_of(seq: int, ids: Iterable[str]) -> bytes:
@@ -208,6 +209,3 @@
     def serving(self, now: float, stage: int) -> bool:
         """Whether a peer was in this stage or a later one when it was last heard, just now."""
         return any(found >= stage and now - at < STAGE_S for found, at in self.stages.values())
-
-
-PARTS_FIT = ITEM + FETCH.size + PART_MOST  # bytes of the largest item here
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -431,5 +431,5 @@
 def test_after_a_loss_service_returns_in_the_model_and_no_cold_warehouse_falls(way: Way) -> None:
     loss = Loss(front_ends=3, warehouses=4, seconds=30.0)
     one, again = (Comeback(loss, way, 5).run() for _ in range(2))
-    assert one == again or one.curve == again.curve  # the same seed, the same figures
+    assert one.curve == again.curve and one.falls == again.falls  # the same seed, the same figures
     assert one.ninety_s < 25.0 and one.falls == 0 and one.lost < 0.2
