Docs of recovery say what the code does, and what was not measured

Change: the notes, the pages and two comments; a limit is stated (a peer that lies, while one recovers); a constant that nothing used is gone.

--- a/lilacfront/lab/comeback.py
+++ b/lilacfront/lab/comeback.py
@@ -40,7 +40,6 @@
 )
 LIST_S = 0.5  # until discovery tells of a warehouse that is up
 WORK_S = sum(threads * seconds * part for _, threads, seconds, _, part in CLASSES)  # thread-seconds a request
-WINDOW_S = 1.0  # of the worth served, beside that of an ordinary second
 TICK_S = 0.05  # between two looks at what changes by time alone
 
 
--- a/lilacfront/recovery/settings.py
+++ b/lilacfront/recovery/settings.py
@@ -17,7 +17,7 @@
     window_s: float = 0.1  # what was said so shortly before a loss may be lost
     file_mb: int = 8  # from which a new generation is begun
     recall_s: float = 2.0  # that the disk is waited for
-    confirm_s: float = 10.0  # that the change log or a peer that serves is waited for
+    confirm_s: float = 10.0  # that the change log is waited for
     reads_s: float = 3.0  # short reads alone
     reports_s: float = 3.0  # then all but loads
     renumbered_s: float = 10.0  # that a log must stay behind what is held before it counts as numbered anew
