--- a/lilacfront/fronts/platform.py
+++ b/lilacfront/fronts/platform.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import contextlib
 import os
 import re
 import socket
@@ -199,8 +198,7 @@
         self.seat.moves = lambda: task.interrupt() if self._passable() else None
         try:
             while not self.stream.closed:
-                if self._passable():
-                    self._pass_on()
+                if self._passable() and self._pass_on():
                     return
                 if self.deferred and self.resume_at <= self.loop.now:
                     self._resume()
@@ -244,10 +242,14 @@
 
     # ---- messages that come while none is taken up ----------------------------------------------------
     def _defer(self, frame: bytes, came_at: float) -> None:
-        """Keep a message for later; what withdraws a request holds at once."""
+        """Keep a message for later; what withdraws a request holds at once. One of which not even the number
+        can be read ends the connection now: nothing that is kept may fail when it is taken up."""
         message: thrift.Message | None = None
-        with contextlib.suppress(thrift.ThriftError):
+        try:
             message = thrift.parse(frame)
+        except thrift.ThriftError as problem:
+            if problem.seqid is None:
+                raise
         if message is not None and message.name == b"abort":
             self._message(frame, came_at)
             return
@@ -259,7 +261,7 @@
             raise thrift.ThriftError(f"over {DEFERRED_MOST} bytes of messages ahead of their time")
 
     def _resume(self) -> None:
-        """Take up what was kept; the order of messages is theirs."""
+        """Take up what was deferred; the order of messages is theirs."""
         deferred = list(self.deferred)
         self._drop_deferred()
         for _, frame, came_at in deferred:
@@ -268,6 +270,14 @@
             self.seat.idle(self.asked)
         self.front.hold(self, self.frames.held)
 
+    def _refuse_deferred(self) -> None:
+        """Requests that came whole and were never taken up are owed an answer, too."""
+        for seqid, _, _ in self.deferred:
+            if seqid is not None:
+                self.stream.write(thrift.shed(seqid, {b"pushback": b"%d" % (1000 * self.backoff_s)}))
+        self._drop_deferred()
+        self._eased()
+
     def _drop_deferred(self) -> None:
         self.deferred.clear()
         self.deferred_size = 0
@@ -278,18 +288,22 @@
         free = self.front.successor is not None and not self.passed and not self.stream.closed
         return free and not self.stream.queued and not self.backoff_s and self.frames.held <= REST_MOST
 
-    def _pass_on(self) -> None:
-        """Pass the connection to the process that takes over."""
+    def _pass_on(self) -> bool:
+        """Pass the connection to the process that takes over; False: no descriptor is left for it now."""
         successor = self.front.successor
         assert successor is not None
+        try:
+            descriptor = os.dup(self.stream.sock.fileno())
+        except OSError:
+            return False
         number, rest = self.front.number(), self.frames.rest()
         out = tuple((seqid, call) for seqid, (call, _) in self.open.items())
-        descriptor = os.dup(self.stream.sock.fileno())
         self.passed = self.gone = True  # no half-close: the other process has the same socket
         if self.open:
             self.there = (successor, number)
             self.front.moved[self.there] = self
         successor.send(Passed(number, rest, out, self.asked), descriptor)
+        return True
 
     def take_over(self, channel: Channel, told: Passed) -> None:
         """Go on where another process stopped."""
@@ -343,7 +357,7 @@
 
         Guard: the requests in hand have done nothing wrong. They get a while to end, and then their answers.
         """
-        self._drop_deferred()
+        self._refuse_deferred()
         self.front.hold(self, 0)
         self.seat.moves = lambda: None
         task.settle()
@@ -396,8 +410,7 @@
 
     def give_up(self) -> None:
         """There is no more time for this connection: what is open on it is answered now."""
-        if self.deferred:
-            self._resume()
+        self._refuse_deferred()
         for seqid, (_, ticket) in list(self.open.items()):
             if ticket is not None:
                 self.front.facade.end(ticket)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -192,6 +192,41 @@
                 assert began(stage) == 3
 
 
+def paused_with_requests(stage: Stage) -> None:
+    """Three requests have come on a connection that is paused for 0.8 s."""
+    ask(stage, one=True)
+    assert began(stage) == 3
+    stage.send(stage.actors["C1"], b"".join(bad(20 + n) for n in range(4)))
+    for tag in "def":
+        stage.step("C1", "ask", f"{tag} lookup 4000 select x from sales_17.orders")
+    stage.wait(0.05)
+    assert began(stage) == 3
+    stage.actors["C1"].got = b""
+
+
+def test_requests_that_came_in_a_pause_are_refused_at_once_when_what_follows_can_not_be_read() -> None:
+    """They came whole; a whole answer is owed to each, and none of them is sent on."""
+    with staged(ThriftResp) as stage:
+        paused_with_requests(stage)
+        stage.send(stage.actors["C1"], b"\x00\x00\x00\x04\xff\xff\xff\xff")
+        stage.wait(0.05)
+        for tag in "def":
+            stage.step("C1", "refused", f"{tag} 800")
+        assert began(stage) == 3
+
+
+def test_requests_that_came_in_a_pause_are_answered_when_there_is_no_more_time() -> None:
+    with staged(ThriftResp) as stage:
+        paused_with_requests(stage)
+        seat = next(iter(stage.server.listeners[0].seats))
+        seat.give_up()
+        stage.turn()
+        got = stage.actors["C1"].got
+        for tag in "abcdef":
+            number = struct.pack(">I", ThriftResp.seq(tag))
+            assert got.count(b"\x00\x00\x00\x06invoke" + number) == 1
+
+
 @pytest.mark.parametrize("how", ["close", "reset", "half-close"])
 def test_a_client_that_leaves_a_connection_that_can_not_be_read_on_is_sent_for_no_more(how: str) -> None:
     """What is in hand there gets 0.7 s to end; its client's leaving is found meanwhile."""
