Shutdown: what never falls idle is refused from the last moment on

Cause: from the time on at which what is open is given up (3.5 s after SIGTERM), further requests on a connection that never falls idle were taken and given up 50 ms later, or left to the end of the process. Change: drain.shutdown refuses new requests from there on. Test: a client with a request every 30 ms through the whole shutdown has a whole answer to each but the one that crosses the close; it passes without the change, too (safe before).

--- a/lilacfront/operations/drain.py
+++ b/lilacfront/operations/drain.py
@@ -37,8 +37,11 @@
 
 
 def shutdown(still_s: float, longest_s: float) -> Times:
-    """After SIGTERM new connections and requests come for `still_s`; answers are due within `longest_s`."""
-    return Times(idle=still_s, first=0.0, refuse=math.inf, give_up=longest_s, young=math.inf)
+    """After SIGTERM new connections and requests come for `still_s`; answers are due within `longest_s`.
+
+    Guard: a client that never falls idle is refused from there on, so that nothing of it is left unanswered.
+    """
+    return Times(idle=still_s, first=0.0, refuse=longest_s, give_up=longest_s, young=math.inf)
 
 
 def handover(longest_s: float, passed: bool) -> Times:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -421,6 +421,28 @@
         assert not any(seat in stage.server.listeners[stage.dialect.listener].seats for seat in seats)
 
 
+def test_a_client_that_never_falls_idle_is_answered_to_the_end_of_the_shutdown() -> None:
+    """Three requests are open at any time; each whole one has a whole answer when the process ends."""
+    with staged(ThriftResp) as stage:
+        ask(stage, one=True)
+        client = stage.actors["C1"]
+        client.gathers = True
+        stage.server.shut_down()
+        asked = list(range(1, 4))
+        number = 10
+        while not stage.server.loop.stopping and not client.eof:
+            number += 1
+            fields = {b"op": b"lookup", b"call": b"%016x" % number, b"ttl": b"4000"}
+            with contextlib.suppress(OSError):
+                assert client.conn is not None
+                client.conn.sendall(thrift.invoke(number, fields, b"select x from sales_17.orders"))
+                asked.append(number)
+            stage.wait(0.03)
+        assert not client.was_reset
+        answered = [n for n in asked if client.got.count(b"\x06invoke" + struct.pack(">I", n)) == 1]
+        assert len(asked) > 100 and set(asked) - set(answered) <= {asked[-1]}  # the last may cross the close
+
+
 @pytest.mark.parametrize("path", PATHS)
 def test_connections_in_the_accept_queue_when_the_listener_closes_are_served(
     path: Callable[[], Dialect],
