Cold engines: a process that has just started forgoes its turn, not its share

At fault: cold_room, 'now < born + span', which left all cold engines unused for 2.5 s after each start. Change: only turns are forgone, in the window of the start. All shares are half of what a cold engine bears, so a share that comes twice stays within it.

--- a/lilacfront/rules.py
+++ b/lilacfront/rules.py
@@ -539,16 +539,16 @@
         most, span = COLD_MARGIN * rules.overload_factor * able * rules.fall_us, rules.fall_us + ASIDE_US
         while engine.sent and engine.sent[0][0] < self.now - span:
             engine.sent.popleft()
-        # Guard: a process that has just started does not know what the one before it has sent of its part.
-        fresh = self.now // span == self.born // span if self.pooled else self.now < self.born + span
-        if fresh and engine.entry.started_us < self.born:
-            return False
+        # Guard: a process that has just started does not know whether the one before it has had its turn. A
+        # share may come twice: all of them are half of what an engine bears.
+        fresh = engine.entry.started_us < self.born and self.now // span == self.born // span
         turn = self.tier.turn(mix(engine.entry.engine, self.now // span))
         sent, work, share = sum(w for _, w, _ in engine.sent), self.weight(kind), most / self.tier.of_turns
         if not self.pooled:
-            return sent + work <= share or (not sent and (turn + 1) * work * len(self.kinds) <= most)
+            its_turn = not (fresh or sent) and (turn + 1) * work * len(self.kinds) <= most
+            return sent + work <= share or its_turn
         part = max(share, min(most, max(self.weight(k) for k in self.kinds)))
-        return (turn + 1) * part <= most and sent + work <= part
+        return not fresh and (turn + 1) * part <= most and sent + work <= part
 
     def weight(self, kind: Kind) -> float:
         """A query's work as rule 4 counts it: an uncrowded run. Crowded ones, and cold ones, overstate it."""
