A slow reader gets its last answer whole before its connection is closed in order

Seen by a test with receive buffers of 2 KB: 45 KB of answer, nothing taken for a second of the shutdown, cut off. Change: the condition is back; what is queued has as long to leave as any peer that takes nothing (5 s), the linger begins after.

--- a/lilacfront/fronts/listener.py
+++ b/lilacfront/fronts/listener.py
@@ -61,7 +61,8 @@
         idle = self in self._listener.asked or self in self._listener.silent
         held = Held(self.since, self.asked_at, not idle, self.partial)
         match drain.verdict(stream.loop.now, held):
-            case Verdict.CLOSE if stream.quiet():
+            # Guard: a client may read slowly; its close waits until its last answer has left.
+            case Verdict.CLOSE if not stream.queued and stream.quiet():
                 stream.end()
             case Verdict.GIVE_UP:
                 self.give_up()
--- a/lilacfront/sched/stream.py
+++ b/lilacfront/sched/stream.py
@@ -294,11 +294,12 @@
             return
         self.closed = True
         self._wake()
-        self.loop.spawn(self._linger, self.loop.now + within_s)
+        self.loop.spawn(self._linger, within_s)
         self.on_end()
 
-    def _linger(self, task: Task, until: float) -> None:
+    def _linger(self, task: Task, within_s: float) -> None:
         self.flush()
+        until = self.loop.now + STALL_S  # as long as a peer that takes nothing is borne at any time
         while not self._free and self.queued:
             self._writer = (task, 0)
             ended = self.loop.wait(task, until)
@@ -308,7 +309,7 @@
         if not self._free and not self.queued:
             with contextlib.suppress(OSError):
                 self.sock.shutdown(socket.SHUT_WR)
-            left = DRAIN_MOST
+            left, until = DRAIN_MOST, self.loop.now + within_s
             while left > 0:
                 got = self._receive(task, until)
                 if isinstance(got, Wait) or got == b"":
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -16,7 +16,7 @@
 from typing import Any
 
 import pytest
-from play import SETTINGS, TICK, Dialect, Http, Stage, ThriftResp, resp
+from play import SETTINGS, TICK, Actor, Dialect, Http, Stage, ThriftResp, body, resp
 
 from lilacfront.fronts.listener import REST_S
 from lilacfront.protocols import thrift
@@ -470,6 +470,54 @@
         assert not any(stage.actors[f"C{n + 1}"].was_reset for n in range(3))
 
 
+def test_a_client_that_reads_slowly_gets_its_last_answer_whole_though_its_connection_is_to_be_closed() -> (
+    None
+):
+    """For a second it takes nothing, longer than a client is waited for once its answer has left."""
+    with staged(ThriftResp) as stage:
+        rows = ",".join(["x" * 1900] * 3)
+        for n in range(3):
+            sock = socket.socket()
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)
+            sock.connect(stage.server.listeners[0].address)
+            stage.actors[f"C{n + 1}"] = Actor(False)
+            stage.actors[f"C{n + 1}"].use(sock)
+        ask(stage, cls="report")
+        seats = list(stage.server.listeners[0].seats)
+        for seat in seats:
+            seat.stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        looks = [stage.actors[f"C{n + 1}"] for n in range(3)]
+        unread = [actor.conn for actor in looks]
+        for actor in looks:
+            actor.conn = None
+        stage.server.shut_down()
+        stage.wait(0.9)
+        whole = body((rows,) * 8)
+        pages = [whole[n : n + 5703] for n in range(0, len(whole), 5703)]
+        for name in ("W1", "W2"):
+            actor = stage.actors[name]
+            for conn in [*actor.others, actor.conn]:
+                for call in re.findall(rb"\$16\r\n(.{16})\r\n\$\d+\r\nlane", actor.got):
+                    if conn is None:
+                        continue
+                    conn.sendall(resp(call, b"HIT", b"pages=8", pages[0]))
+                    for page in range(1, 8):
+                        conn.sendall(resp(call, b"PART", b"page=%d" % page, pages[page]))
+        stage.wait(0.1)
+        assert all(seat.stream.queued for seat in seats), "the answers are to be stuck"
+        stage.wait(1.0)
+        for actor, conn in zip(looks, unread, strict=True):
+            assert conn is not None
+            actor.use(conn)
+        for _ in range(200):
+            stage.wait(0.01)
+            if all(actor.eof for actor in looks):
+                break
+        for n, actor in enumerate(looks):
+            assert not actor.was_reset
+            assert actor.got == thrift.answer(b"invoke", n + 1, whole)
+
+
 @pytest.mark.parametrize("path", PATHS)
 def test_bytes_that_come_as_the_last_answer_leaves_do_not_turn_the_close_into_a_reset(
     path: Callable[[], Dialect],
