Tests: a list that falls silent and comes back, a start without it

Need: pairs of the list's silence with failed reconnections, drains and whole lists, and a start while it can't be reached. Seven tests, connections held so that tries fail for certain; all pass on the program as it is, none was red.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -7,12 +7,14 @@
 from __future__ import annotations
 
 import contextlib
+import json
 import os
 import re
 import resource
 import socket
 import struct
 from collections.abc import Callable, Iterator
+from itertools import count
 from typing import Any
 
 import pytest
@@ -813,3 +815,84 @@
             gate = stage.server.facade.gateway
             assert not gate.ill and all(engine.errors == 0 for engine in gate.engines.values())
             monkeypatch.undo()
+
+
+# ---- the list -----------------------------------------------------------------------------------------
+
+
+def attempts_to(stage: Stage, name: str) -> int:
+    return stage.actors[name].got.count(b"$2\r\ndo\r\n")
+
+
+def keep_asking(stage: Stage, seconds: float, numbers: Iterator[int]) -> None:
+    """A lookup of another table group every 50 ms, so that both warehouses are used while both may be."""
+    client = stage.actors["C1"]
+    for _ in range(round(seconds / 0.05)):
+        number = next(numbers)
+        fields = {b"op": b"lookup", b"call": b"%016x" % number, b"ttl": b"4000"}
+        assert client.conn is not None
+        client.conn.sendall(thrift.invoke(number, fields, b"select x from sales_%d.orders" % (number % 40)))
+        stage.wait(0.05)
+
+
+def event(stage: Stage, seq: int, *names: str, reset: bool = False, state: str = "draining") -> bytes:
+    fleet = {"reset": reset, "instances": [stage.entry(name, state) for name in names]}
+    return json.dumps({"seq": seq, "fleet": fleet}).encode() + b"\n"
+
+
+@pytest.mark.parametrize("tries", [0, 1, 2], ids=["at once", "second try", "third try"])
+@pytest.mark.parametrize("reset", [False, True], ids=["a drain", "a whole list without it"])
+def test_a_list_that_falls_silent_is_followed_again_before_what_it_tells_counts(
+    tries: int, reset: bool
+) -> None:
+    """Told counts 4 s after the silence began; first tries to reach the list again may come to nothing."""
+    with staged(ThriftResp) as stage:
+        assert isinstance(stage.dialect, ThriftResp)
+        for name in ("W1", "W2"):
+            stage.actors[name].answers = stage.dialect.answers
+        log, numbers = stage.actors["L"], count(100)
+        stage.step("L", "since", "1")
+        stage.step("C1", ">", "")
+        keep_asking(stage, 0.5, numbers)
+        assert attempts_to(stage, "W1") and attempts_to(stage, "W2")
+        silent_at = stage.clock.now
+        stage.poll.holding = tries > 0  # connections do not come up; those to warehouses are there
+        failed, trying = 0, False
+        while stage.clock.now < silent_at + 4.0:
+            keep_asking(stage, 0.05, numbers)
+            failed, trying = failed + (trying and not stage.poll.held), bool(stage.poll.held)
+            if stage.poll.holding and failed >= tries:
+                stage.poll.release()
+            if log.eof and log.conn is not None:
+                log.conn, log.eof = None, False
+            if log.got.startswith(b"since 1\n") and log.conn is not None:
+                log.got = b""
+                news = event(stage, 2, "W2", reset=True, state="ready") if reset else event(stage, 2, "W1")
+                log.conn.sendall(news)
+                break
+        assert stage.clock.now < silent_at + 4.0, "not followed again in time"
+        keep_asking(stage, 0.05, numbers)
+        before = attempts_to(stage, "W1")
+        keep_asking(stage, 1.5, numbers)
+        assert attempts_to(stage, "W1") == before and attempts_to(stage, "W2")
+
+
+def test_a_start_while_the_list_can_not_be_reached_is_ready_in_time_and_serves() -> None:
+    """It says no for a second, in which what it has missed could have come, and then yes."""
+    with socket.create_server(("127.0.0.1", 0)) as nobody:
+        address = f"127.0.0.1:{nobody.getsockname()[1]}"
+    with staged(ThriftResp, fresh=True, changelog=address) as stage:
+        assert isinstance(stage.dialect, ThriftResp)
+        for name in ("W1", "W2"):
+            stage.actors[name].answers = stage.dialect.answers
+        stage.step("C9", ">", "")
+        pings = []
+        for n in range(1, 4):
+            stage.send(stage.actors["C9"], thrift.ping(n))
+            pings.append(thrift.answer(b"ping", n, b"", n == 3))
+            stage.wait(0.55)
+        stage.turn()
+        assert stage.actors["C9"].got == b"".join(pings)
+        ask(stage)
+        for n, tag in enumerate("abc"):
+            stage.until(lambda n=n, tag=tag: served(stage, f"C{n + 1}", tag), "served")
