--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -896,3 +896,48 @@
         ask(stage)
         for n, tag in enumerate("abc"):
             stage.until(lambda n=n, tag=tag: served(stage, f"C{n + 1}", tag), "served")
+
+
+@pytest.mark.parametrize("path", PATHS)
+def test_a_list_that_moves_by_a_signal_during_the_shutdown_is_followed_and_its_drain_kept(
+    path: Callable[[], Dialect],
+) -> None:
+    """SIGTERM, then SIGHUP with another address, then a drain told there while requests still come."""
+    with staged(path) as stage:
+        rest(stage)
+        stage.step("L", "since", "1")
+        stage.server.shut_down()
+        stage.wait(0.1)
+        stage.step("hup", "M", "")
+        stage.step("M", "since", "1")
+        stage.step("M", "says", "2 W1 draining")
+        before = {name: stage.actors[name].got for name in ("W1", "W2")}
+        for n in range(3):
+            follow_up(stage, n)
+        stage.wait(0.1)
+        assert all(served(stage, f"C{n + 1}", "def"[n]) for n in range(3))
+        assert stage.actors["W1"].got == before["W1"] and stage.actors["W2"].got != before["W2"]
+
+
+@pytest.mark.parametrize("tag", ["a", "b", "c"])
+@pytest.mark.parametrize("word", ["serves", "faults", "sheds"])
+def test_a_late_second_answer_to_a_call_that_is_open_elsewhere_ends_nothing_there(
+    word: str, tag: str
+) -> None:
+    with staged(ThriftResp) as stage:
+        warehouses = {name: stage.actors[name] for name in ("W1", "W2")}
+        for actor in warehouses.values():
+            actor.gathers = False
+        stage.step("C1", "ask", f"{tag} lookup 4000 select x from sales_17.orders")
+        stage.until(lambda: any(actor.got for actor in warehouses.values()), "the first attempt")
+        (first,) = [name for name, actor in warehouses.items() if actor.got]
+        (second,) = set(warehouses) - {first}
+        warehouses[first].got = b""
+        stage.step(first, "faults", tag)
+        stage.until(lambda: warehouses[second].got != b"", "the second attempt")
+        warehouses[second].got = b""
+        stage.step(first, word, f"{tag} 7,8,9" if word == "serves" else tag)
+        stage.wait(0.02)
+        assert not any(actor.got for actor in warehouses.values()) and not stage.actors["C1"].got
+        stage.step(second, "serves", f"{tag} 4,5,6")
+        stage.step("C1", "served", f"{tag} 4,5,6")
