--- a/lilacfront/membership/changelog.py
+++ b/lilacfront/membership/changelog.py
@@ -15,10 +15,10 @@
 log = Log(__name__)
 CONNECT_S = 0.5
 SILENT_S = 1.8  # a whole line comes every second; a log without one for longer has lost this connection
-# Between two connections: backoff that doubles from the one to the other while nothing is told, and is drawn
-# anew each time, so that the front ends of a fleet do not all come at once. Two tries that come to nothing
-# included, a list is followed again 3.5 s after it fell silent; what it tells counts as told after 4 s.
-AGAIN_S, AGAIN_MOST_S = 0.1, 0.4
+# Between two connections, drawn anew each time from the half to the whole of it, so that the front ends of a
+# fleet do not all come at once. No longer backoff: what the log tells counts once it is there, whoever is
+# connected, and after an outage it may tell of drains at once, which have to be kept 0.5 s later.
+AGAIN_S = 0.1
 MISSED_S = 0.2  # within this of asking, what was missed has begun to come
 WITHOUT_S = 1.0  # after this from the start a log that can't be reached is waited for no longer
 LINE_MOST = 4 << 20
@@ -68,7 +68,6 @@
         self.renumbered_s = 0.0
         self.on_anew: Callable[[], None] = lambda: None
         self._behind_since = math.inf
-        self._lines = 0  # whole ones that this connection has brought
         loop.at(loop.now + WITHOUT_S, self._go_without)
 
     def _go_without(self) -> None:
@@ -95,11 +94,10 @@
                 self._task.interrupt()  # whatever it waits for: the old address tells nothing more
 
     def run(self, task: Task) -> None:
-        self._task, again_s = task, AGAIN_S
+        self._task = task
         while True:
             if task.interrupted:
                 task.settle()
-            self._lines = 0
             made = Stream.connect(self.loop, task, self.address, self.loop.now + CONNECT_S, 1 << 16)
             if isinstance(made, Stream):
                 try:
@@ -111,10 +109,7 @@
                 finally:
                     made.close()
             if not task.interrupted:
-                if self._lines:
-                    again_s = AGAIN_S
-                self.loop.sleep(task, self.loop.now + again_s * self._draw.uniform(0.5, 1.0))
-                again_s = min(AGAIN_MOST_S, 2 * again_s)
+                self.loop.sleep(task, self.loop.now + AGAIN_S * self._draw.uniform(0.5, 1.0))
 
     def _follow(self, task: Task, stream: Stream) -> None:
         """Take events until the connection ends, falls silent, or turns out to have left one out.
@@ -140,7 +135,6 @@
                 return
             for line in filter(None, (one.strip() for one in lines)):
                 event = self._decode(line)
-                self._lines += 1
                 if not self._take(event):
                     return
                 if isinstance(event, int):
