--- a/review/common/bed.py
+++ b/review/common/bed.py
@@ -59,12 +59,19 @@
 
 
 class Bed:
-    """A temporary folder and the processes of one run; all of them are ended by `close`."""
+    """A temporary folder and the processes of one run; all of them are ended by `close`.
+
+    Attributes:
+        record: The record of the run.
+        folder: The temporary folder.
+        front_ends: The processes of the front ends, by name.
+    """
 
     def __init__(self, record: Record) -> None:
         self.record = record
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
-        self._processes: list[subprocess.Popen[bytes]] = []
+        self.front_ends: dict[str, subprocess.Popen[bytes]] = {}
+        self._killed: set[str] = set()
         self._reserved: list[socket.socket] = []
 
     def reserve_address(self) -> str:
@@ -104,7 +111,7 @@
                 stdout=log,
                 stderr=log,
             )
-        self._processes.append(process)
+        self.front_ends[name] = process
         self.record.add(f"front end {name} started at {address}")
         return address
 
@@ -124,9 +131,14 @@
 
     def check_running(self) -> None:
         """Record front ends that have ended by themselves."""
-        for process in self._processes:
-            if process.poll() is not None:
-                self.record.add_break(f"a front end ended by itself with code {process.returncode}")
+        for name, process in self.front_ends.items():
+            if name not in self._killed and process.poll() is not None:
+                self.record.add_break(f"front end {name} ended by itself with code {process.returncode}")
+
+    def kill(self, name: str) -> None:
+        """Kill a front end."""
+        self._killed.add(name)
+        self.front_ends[name].send_signal(signal.SIGKILL)
 
     def log_tail(self, lines: int = 5) -> None:
         """Add the last lines of each front end's log to the record."""
@@ -136,9 +148,9 @@
 
     def close(self) -> None:
         """End all processes and remove the temporary folder."""
-        for process in self._processes:
+        for name, process in self.front_ends.items():
             if process.poll() is None:
-                process.send_signal(signal.SIGKILL)
+                self.kill(name)
             process.wait(END_TIMEOUT_S)
         for sock in self._reserved:
             sock.close()
--- a/review/common/gateway.py
+++ b/review/common/gateway.py
@@ -41,7 +41,9 @@
     """The warehouses, the change log, the front ends and the clients.
 
     Attributes:
-        began_at: When the clients began, on the record's clock.
+        began_at: When the front ends were ready, on the record's clock.
+        thrift_addresses: Where the front ends listen for the platform's clients.
+        http_addresses: Where the front ends listen for HTTP clients.
         warehouses: The HTTP warehouses.
     """
 
@@ -56,6 +58,8 @@
         """Create a site; `answer` may replace the answer of a warehouse, see `HttpWarehouse`."""
         self.began_at = 0.0
         self.warehouses = [HttpWarehouse(f"q-{number}", record, answer) for number in range(warehouses)]
+        self.thrift_addresses: list[str] = []
+        self.http_addresses: list[str] = []
         self._bed = bed
         self._record = record
         self._seed = seed
@@ -64,37 +68,33 @@
 
     @property
     def at_s(self) -> float:
-        """Seconds since the clients began."""
+        """Seconds since the front ends were ready."""
         return self._record.now() - self.began_at
 
-    async def play(self, front_ends: int, clients: int, run_s: float, pause_s: float) -> None:
-        """Run the front ends and `clients` clients of each front of each of them for a while."""
+    async def start(self, front_ends: int) -> None:
+        """Start the warehouses, the change log and the front ends, and wait until these are ready."""
         for warehouse in self.warehouses:
             await warehouse.start()
         kinds = colombo(0, front_ends)["kinds"]
         entries = [instance(w.name, number, w.address, kinds) for number, w in enumerate(self.warehouses)]
         change_log = ChangeLog(entries)
         await change_log.start()
-        http_addresses = [self._bed.reserve_address() for _ in range(front_ends)]
-        thrift_addresses = [
-            self._start_front_end(number, front_ends, change_log, http_addresses[number])
-            for number in range(front_ends)
-        ]
-        for address in thrift_addresses:
+        for number in range(front_ends):
+            self.http_addresses.append(self._bed.reserve_address())
+            self.thrift_addresses.append(self._start_front_end(number, front_ends, change_log))
+        for address in self.thrift_addresses:
             await self._bed.wait_until_ready(address)
         self.began_at = self._record.now()
-        runs = []
-        for number in range(front_ends):
-            for client in range(clients):
-                rng = random.Random(f"{self._seed} {number} {client}")
-                runs.append(self._run_thrift_client(thrift_addresses[number], rng, run_s, pause_s))
-                runs.append(self._run_http_client(http_addresses[number], rng, run_s, pause_s))
-        await asyncio.gather(*runs)
+
+    def record_lost_loads(self) -> None:
+        """Add a line on the loads that were answered 'served' and never ran."""
         lost = [call for call in self._served_unrun if not any(call in w.applied for w in self.warehouses)]
         self._record.add(f"loads answered 'served' that no warehouse ever ran: {len(lost)} {' '.join(lost)}")
 
-    def _start_front_end(self, number: int, front_ends: int, change_log: ChangeLog, http_address: str) -> str:
-        gateway = self._bed.write(f"gateway-{number}.toml", GATEWAY_FILE.format(listen=http_address))
+    def _start_front_end(self, number: int, front_ends: int, change_log: ChangeLog) -> str:
+        gateway = self._bed.write(
+            f"gateway-{number}.toml", GATEWAY_FILE.format(listen=self.http_addresses[number])
+        )
         configuration = {
             "seed": f"{self._seed + number:x}",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
@@ -104,9 +104,8 @@
         }
         return self._bed.start_front_end(f"n{number}", configuration, f"--gateway {gateway}")
 
-    async def _run_thrift_client(
-        self, address: str, rng: random.Random, run_s: float, pause_s: float
-    ) -> None:
+    async def run_thrift_client(self, address: str, rng: random.Random, run_s: float, pause_s: float) -> None:
+        """Send requests of the platform's protocol, one after the other."""
         client = await ThriftClient.connect(address)
         while self.at_s < run_s:
             await asyncio.sleep(pause_s * rng.uniform(0.5, 1.5))
@@ -121,7 +120,8 @@
             self._record.add_break(f"request {seqid} of one connection was answered twice")
         await client.close()
 
-    async def _run_http_client(self, address: str, rng: random.Random, run_s: float, pause_s: float) -> None:
+    async def run_http_client(self, address: str, rng: random.Random, run_s: float, pause_s: float) -> None:
+        """Send HTTP requests, one after the other."""
         client = HttpClient(address)
         while self.at_s < run_s:
             await asyncio.sleep(pause_s * rng.uniform(0.5, 1.5))
