Review, case 3: check also the order in which the loads are applied

The script now also fails when an engine applies a load over a later one of the same key. A SIGTERM to a script ends its front ends.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -33,6 +33,7 @@
         self._taken: dict[str, list[str]] = {}  # the loads of one front end and key, by each of their ids
         self._out: dict[str, str] = {}  # the engine at which an attempt of a load is out
         self._over: set[str] = set()
+        self._applied: set[str] = set()
 
     def add(self, call: str, earlier: list[str]) -> None:
         """Add a load behind the earlier ones of its key and front end."""
@@ -54,6 +55,14 @@
             )
         self._out[call] = engine
 
+    def applied(self, call: str) -> None:
+        """Note that an engine has applied a load, and check that no later one was applied before it."""
+        taken = self._taken[call]
+        for other in taken[taken.index(call) + 1 :]:
+            if other in self._applied:
+                self._record.add_break(f"{call} was applied over {other} of the same key, taken later")
+        self._applied.add(call)
+
     def end(self, call: str) -> None:
         """Note that an attempt is not out any more."""
         self._out.pop(call, None)
@@ -89,6 +98,8 @@
         await engine.wait_while_hanging()
         await asyncio.sleep(LOAD_S if is_load else LOOKUP_S)
         await engine.wait_while_hanging()
+        if is_load:
+            self.loads.applied(request.call)
         return f"{request.call}\t{engine.name}\t1\n".encode()
 
     async def send_loads(self, address: str, key: str, group: int) -> None:
--- a/review/common/bed.py
+++ b/review/common/bed.py
@@ -159,6 +159,7 @@
 
 def main(play: Callable[[Bed, Record], Awaitable[None]], case_file: str) -> None:
     """Play a case, write `record.txt` beside it and exit: 0 the rule held, 1 it was broken, 2 no run."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(COULD_NOT_RUN))  # the processes are ended all the same
     record = Record()
     bed = Bed(record)
     record.add(f"trouble: {'yes' if has_trouble() else 'no'}")
