Loads of one key wait for the earlier one: the field `row` reaches the router

Cause: platform_request_parser.parse_request did not read `row`, and ActionExecutor.route made RequestReceived without an ordering key, so OrderedKeys, which keeps the order in the simulator, never saw one on sockets. Change: `row` is read in classes that keep an order. Two keys with one digest would wait for each other, which breaks no rule.

--- a/lilacfront/core/action_executor.py
+++ b/lilacfront/core/action_executor.py
@@ -76,7 +76,15 @@
         request = in_flight.request
         in_flight.in_team_queue = False
         time_left_us = max(0, int((request.deadline - self._loop.now) * 1e6))
-        self.handle(RequestReceived(in_flight.number, request.class_index, time_left_us, request.table_group))
+        self.handle(
+            RequestReceived(
+                in_flight.number,
+                request.class_index,
+                time_left_us,
+                request.table_group,
+                request.ordering_key,
+            )
+        )
 
     def deliver_decision(self, in_flight: InFlightRequest, decision: RoutingDecision) -> None:
         """Store a decision and wake the request's task; decisions after a final answer are ignored."""
--- a/lilacfront/core/model.py
+++ b/lilacfront/core/model.py
@@ -83,6 +83,7 @@
         headers: Headers of the request; used only to choose the team.
         statement: The statement, if the body contains more than the statement.
         idempotency_key: Key by which engines recognise a repeated request; forwarded as received.
+        ordering_key: Key whose requests run one at a time in the order received; 0 if there is none.
         is_client_connected: Returns whether the client is still connected.
     """
 
@@ -96,6 +97,7 @@
     headers: Sequence[tuple[bytes, bytes]] = ()
     statement: bytes = b""
     idempotency_key: bytes = b""
+    ordering_key: int = 0
     is_client_connected: Callable[[], bool] = _always_connected
 
 
--- a/lilacfront/frontends/platform_request_parser.py
+++ b/lilacfront/frontends/platform_request_parser.py
@@ -4,6 +4,7 @@
 
 import re
 from collections.abc import Callable, Collection, Mapping
+from hashlib import blake2b
 
 from lilacfront.core.model import Request
 from lilacfront.core.statement import table_group
@@ -15,6 +16,7 @@
 IDEMPOTENCY_KEY = re.compile(rb"[^\x00-\x20,=\x7f-\xff]{0,64}")  # must fit into a RESP field list
 MAX_DEADLINE_RATIO = 1.5  # maximum of the client's own deadline divided by the deadline of the class
 DEADLINE_MARGIN_S = 0.012  # time for receiving the request and sending the answer
+ORDERING_KEY_BYTES = 8  # size of the number that stands for an ordering key
 
 
 class InvalidInvokeError(LilacfrontError):
@@ -61,6 +63,7 @@
         message.body,
         table_group(message.body),
         idempotency_key=idempotency_key,
+        ordering_key=_ordering_key(message.fields.get(b"row", b"")) if request_class.is_ordered else 0,
         is_client_connected=is_client_connected,
     )
 
@@ -83,3 +86,14 @@
     if not ttl.isdigit() or len(ttl) > 9 or not 0 < int(ttl) <= max_ttl_ms:
         raise InvalidInvokeError("field ttl is not a number of milliseconds that this class allows")
     return int(ttl) / 1000
+
+
+def _ordering_key(text: bytes) -> int:
+    """Return the number of a client's ordering key; 0 if the request has no key.
+
+    The protocol sets no form or length for the key, so a digest stands for it. Two keys with the same digest
+    would wait for each other, which breaks no rule.
+    """
+    if not text:
+        return 0
+    return int.from_bytes(blake2b(text, digest_size=ORDERING_KEY_BYTES).digest()) or 1
--- a/lilacfront/frontends/platform_services.py
+++ b/lilacfront/frontends/platform_services.py
@@ -20,10 +20,12 @@
     Attributes:
         index: Index of the class in the settings.
         deadline_s: Time from receiving a request to answering it, in seconds.
+        is_ordered: Whether requests with the same ordering key run one at a time, in order.
     """
 
     index: int
     deadline_s: float
+    is_ordered: bool = False
 
 
 @dataclass(slots=True, frozen=True)
--- a/lilacfront/server/builders.py
+++ b/lilacfront/server/builders.py
@@ -81,6 +81,8 @@
 def platform_classes(config: Config) -> dict[bytes, PlatformClass]:
     """Return the request classes, by the name that clients of the platform's protocol send."""
     return {
-        name.encode(): PlatformClass(index, config.policy.classes[index].deadline_us / 1e6)
-        for index, name in enumerate(config.class_names)
+        name.encode(): PlatformClass(index, request_class.deadline_us / 1e6, request_class.is_ordered)
+        for index, (name, request_class) in enumerate(
+            zip(config.class_names, config.policy.classes, strict=True)
+        )
     }
--- a/tests/frontends/test_platform_request_parser.py
+++ b/tests/frontends/test_platform_request_parser.py
@@ -9,7 +9,7 @@
 from lilacfront.frontends.platform_services import PlatformClass
 from lilacfront.protocols import thrift
 
-CLASSES = {b"lookup": PlatformClass(0, 0.3), b"load": PlatformClass(1, 20.0)}
+CLASSES = {b"lookup": PlatformClass(0, 0.3), b"load": PlatformClass(1, 20.0, is_ordered=True)}
 OPEN_CALL_ID = b"ffffffffffffffff"
 FIELDS = {b"op": b"lookup", b"call": b"0123456789abcdef"}
 RECEIVED_AT = 50.0
@@ -29,6 +29,15 @@
     assert request.body == b"SELECT 1"
 
 
+def test_ordering_key_is_read_in_classes_that_keep_an_order_only() -> None:
+    key = parse({b"op": b"load", b"row": b"7f3a9c21e0b4d655"}).ordering_key
+    assert key
+    assert parse({b"op": b"load", b"row": b"7f3a9c21e0b4d655"}).ordering_key == key
+    assert parse({b"op": b"load", b"row": b"any text \xff"}).ordering_key not in (0, key)
+    assert parse({b"op": b"load"}).ordering_key == 0
+    assert parse({b"op": b"lookup", b"row": b"7f3a9c21e0b4d655"}).ordering_key == 0
+
+
 @pytest.mark.parametrize(
     ("fields", "timeout_s"),
     [
--- a/tests/play/harness.py
+++ b/tests/play/harness.py
@@ -167,7 +167,7 @@
         self.server.reload_config()
 
     def _actor_step(self, name: str, verb: str, rest: str) -> None:
-        actor = self.actors.get(name) or self._connect_client(name)
+        actor = self.actors.get(name) or self.connect_client(name)
         if verb.startswith("!"):
             self.apply_event(actor, verb[1:])
         elif verb in "<>":
@@ -180,7 +180,8 @@
                     case Transfer():
                         self._transfer(actor, effect)
 
-    def _connect_client(self, name: str) -> Actor:
+    def connect_client(self, name: str) -> Actor:
+        """Connect a new client to the front end."""
         actor = Actor(False)
         self.actors[name] = actor
         address = self.server.listeners[self.dialect.listener_index].address
