OrderedKeys: a gap is removed as it ends, so that keys leave nothing behind

Now that keys come from sockets, thousands of them would each leave an entry. Change: gaps have one length, so their table is ordered by their end and those that have ended are removed from its head. Queues hold request numbers in place of requests. No decision changes.

--- a/lilacfront/decisions/ordered_keys.py
+++ b/lilacfront/decisions/ordered_keys.py
@@ -1,8 +1,9 @@
-"""Ordered keys: requests of one ordering key run one at a time, in the order of their arrival."""
+"""Ordered keys: requests of one ordering key run one at a time, in the order in which they were received."""
 
 from __future__ import annotations
 
 from collections import deque
+from dataclasses import dataclass
 
 from lilacfront.decisions.events import AttemptResult
 from lilacfront.decisions.state import PendingRequest, RouterState
@@ -10,37 +11,64 @@
 MAY_STILL_RUN = (AttemptResult.TIMEOUT, AttemptResult.RESET, AttemptResult.CANCELLED)
 
 
+@dataclass(slots=True, frozen=True)
+class Gap:
+    """The time after an attempt that may still run, in which only its own request may be sent.
+
+    Attributes:
+        end_us: The last microsecond of the gap.
+        request: Number of the request.
+    """
+
+    end_us: int
+    request: int
+
+
 class OrderedKeys:
-    """Queues of requests by ordering key, and the gaps after attempts that may still run."""
+    """Queues of requests by ordering key, and the gaps after attempts that may still run.
+
+    A key has an entry only while it has a request or a gap.
+    """
 
     def __init__(self, state: RouterState) -> None:
         self._state = state
-        self._queues: dict[int, deque[PendingRequest]] = {}
-        self._gaps: dict[int, tuple[int, PendingRequest]] = {}  # by key: end of gap, request
+        self._queues: dict[int, deque[int]] = {}  # by key: numbers of its requests, as received
+        self._gaps: dict[int, Gap] = {}  # by key, in the order in which the gaps end
 
     def add(self, request: PendingRequest) -> None:
         """Append a received request to the queue of its key."""
         if key := request.ordering_key:
-            self._queues.setdefault(key, deque()).append(request)
+            self._queues.setdefault(key, deque()).append(request.received.request)
 
     def remove(self, request: PendingRequest) -> None:
         """Remove a request from the queue of its key, so that the next one may run."""
         if key := request.ordering_key:
-            self._queues[key].remove(request)
+            self._queues[key].remove(request.received.request)
             if not self._queues[key]:
                 del self._queues[key]
 
     def is_next(self, request: PendingRequest) -> bool:
         """Return whether the request is the first of its key and no gap after another request remains."""
-        key = request.ordering_key
+        key, number = request.ordering_key, request.received.request
         if not key:
             return True
-        if self._queues[key][0] is not request:
+        if self._queues[key][0] != number:
             return False
-        gap_end_us, owner = self._gaps.get(key, (0, request))
-        return owner is request or self._state.now_us > gap_end_us
+        gap = self._gaps.get(key)
+        return gap is None or gap.request == number or self._state.now_us > gap.end_us
 
     def record_end(self, request: PendingRequest, result: AttemptResult) -> None:
         """Start a gap if an ended attempt may still run on its engine."""
         if (key := request.ordering_key) and result in MAY_STILL_RUN:
-            self._gaps[key] = (self._state.now_us + self._state.settings.rules.ordering_gap_us, request)
+            self._remove_ended_gaps()
+            self._gaps.pop(key, None)  # the new gap is the last to end
+            end_us = self._state.now_us + self._state.settings.rules.ordering_gap_us
+            self._gaps[key] = Gap(end_us, request.received.request)
+
+    def _remove_ended_gaps(self) -> None:
+        """Remove the gaps that have ended; all gaps have the same length."""
+        while self._gaps:
+            key, gap = next(iter(self._gaps.items()))
+            if self._state.now_us <= gap.end_us:
+                return
+            del self._gaps[key]
--- a/tests/decisions/test_ordered_keys.py
+++ b/tests/decisions/test_ordered_keys.py
@@ -6,6 +6,7 @@
 
 from helpers import (
     RULES,
+    SECOND_US,
     SHORT,
     STEP_TIMER,
     end_attempt,
@@ -34,3 +35,16 @@
     end_attempt(router, 4000, second, AttemptResult.CANCELLED)
     assert not forwards(router.handle(200_000, TimerFired(STEP_TIMER)))
     assert [s.request for s in forwards(router.handle(310_000, TimerFired(STEP_TIMER)))] == [6]
+
+
+# The gap of each key that ever had an attempt with an unknown end was kept for the life of the process.
+def test_nothing_is_kept_of_keys_whose_requests_and_gaps_have_ended() -> None:
+    spec = replace(SHORT, is_ordered=True)
+    router = make_router(policy_settings(spec, rules=replace(RULES, ordering_gap_us=300_000)), endpoints(3))
+    for key in range(1, 2_000):
+        now = key * SECOND_US
+        (send,) = forwards(receive_request(router, now, key, ordering_key=key))
+        router.handle(now, ClientDisconnected(key))
+        end_attempt(router, now, send, AttemptResult.CANCELLED)
+    assert not router._ordered_keys._queues
+    assert len(router._ordered_keys._gaps) == 1
