Tenant, retry mark and estimates of the platform's clients reach the router

Change: the four fields are read and passed on. An unknown tenant and an estimate that is no number fail the request, as an unknown class does; a client that names no tenant is charged to none.

--- a/lilacfront/config/loader.py
+++ b/lilacfront/config/loader.py
@@ -19,6 +19,7 @@
     decode_platform_file,
     parse_class_names,
     parse_seed,
+    parse_tenant_names,
 )
 from lilacfront.decisions.settings import PolicySettings
 from lilacfront.decisions.settings_file import PolicySettingsError, parse_settings
@@ -99,6 +100,7 @@
         cached_events=file.known,
         policy=policy,
         class_names=class_names,
+        tenant_names=parse_tenant_names(file),
         zone_names=list(file.settings.get("zones") or []),
         machine_types=list(file.settings.get("kinds") or []),
         streams_per_connection=int(_parse_limit(limits, "streams-per-conn", DEFAULT_STREAMS_PER_CONNECTION)),
--- a/lilacfront/config/model.py
+++ b/lilacfront/config/model.py
@@ -71,6 +71,7 @@
         cached_events: Change log events up to the start of the process.
         policy: Settings of the router.
         class_names: Names of the request classes, by class index.
+        tenant_names: Names of the tenants, by tenant index; empty if there are no tenants.
         zone_names: Names of the zones, by zone number.
         machine_types: Names of the machine types, by machine type number.
         streams_per_connection: Maximum number of concurrent requests on one connection to an engine.
@@ -97,6 +98,7 @@
     cached_events: CachedEvents
     policy: PolicySettings
     class_names: tuple[str, ...]
+    tenant_names: tuple[str, ...]
     zone_names: list[str]
     machine_types: list[str]
     streams_per_connection: int
--- a/lilacfront/config/platform_file.py
+++ b/lilacfront/config/platform_file.py
@@ -79,3 +79,15 @@
     if not all(isinstance(name, str) and name for name in names) or len(set(names)) < len(names):
         raise ConfigError("settings.classes", f"class names {names!r} must be non-empty strings and unique")
     return names
+
+
+def parse_tenant_names(file: PlatformFile) -> tuple[str, ...]:
+    """Return the names of the tenants, by tenant index.
+
+    Raises:
+        ConfigError: A name is not a text, or names are not unique.
+    """
+    names = tuple(tenant.get("name", "") for tenant in file.settings.get("orgs") or [])
+    if not all(isinstance(name, str) for name in names) or len(set(names)) < len(names):
+        raise ConfigError("settings.orgs", f"tenant names {names!r} must be unique texts")
+    return names
--- a/lilacfront/core/action_executor.py
+++ b/lilacfront/core/action_executor.py
@@ -83,6 +83,10 @@
                 time_left_us,
                 request.table_group,
                 request.ordering_key,
+                request.tenant,
+                request.is_client_retry,
+                request.estimated_work_us,
+                request.estimated_memory_mb,
             )
         )
 
--- a/lilacfront/core/model.py
+++ b/lilacfront/core/model.py
@@ -84,6 +84,10 @@
         statement: The statement, if the body contains more than the statement.
         idempotency_key: Key by which engines recognise a repeated request; forwarded as received.
         ordering_key: Key whose requests run one at a time in the order received; 0 if there is none.
+        tenant: Index of the tenant in the settings; None if the client names none.
+        is_client_retry: Whether the client repeats a request that it has sent before.
+        estimated_work_us: Estimated total time of all threads, in microseconds; None if unknown.
+        estimated_memory_mb: Estimated memory, in MB; None if unknown.
         is_client_connected: Returns whether the client is still connected.
     """
 
@@ -98,6 +102,10 @@
     statement: bytes = b""
     idempotency_key: bytes = b""
     ordering_key: int = 0
+    tenant: int | None = None
+    is_client_retry: bool = False
+    estimated_work_us: int | None = None
+    estimated_memory_mb: float | None = None
     is_client_connected: Callable[[], bool] = _always_connected
 
 
--- a/lilacfront/decisions/events.py
+++ b/lilacfront/decisions/events.py
@@ -87,14 +87,17 @@
 
 @dataclass(slots=True, frozen=True)
 class RequestReceived:
-    """A client's request, which gets exactly one answer within `time_left_us`."""
+    """A client's request, which gets exactly one answer within `time_left_us`.
+
+    `tenant` is an index in the settings; None stands for a client that names no tenant.
+    """
 
     request: int
     class_index: int
     time_left_us: int
     table_group: int = 0
     ordering_key: int = 0
-    tenant: int = 0
+    tenant: int | None = 0
     is_client_retry: bool = False
     estimated_work_us: int | None = None  # total time of all threads
     estimated_memory_mb: float | None = None
--- a/lilacfront/decisions/tenant_quota.py
+++ b/lilacfront/decisions/tenant_quota.py
@@ -26,14 +26,15 @@
         Requests over the quota are not queued. They are still served if an engine has capacity, since the
         tenant's traffic may reach only a few gateways. Retries by the client are not charged.
         """
-        if received.tenant >= len(self._buckets):
+        tenant = received.tenant
+        if tenant is None or tenant >= len(self._buckets):
             return False
         state = self._state
-        rate = state.settings.tenants[received.tenant].requests_per_s / state.fleet_size.quota_divisor
-        tokens, at_us = self._buckets[received.tenant]
+        rate = state.settings.tenants[tenant].requests_per_s / state.fleet_size.quota_divisor
+        tokens, at_us = self._buckets[tenant]
         refilled = tokens + rate * (state.now_us - at_us) / US_PER_S
         tokens = min(max(MAX_BURST_S * rate, MIN_BUCKET_REQUESTS), refilled)
         if not received.is_client_retry:
             tokens = max(-MAX_DEBT_REQUESTS, tokens - 1.0)
-        self._buckets[received.tenant] = tokens, state.now_us
+        self._buckets[tenant] = tokens, state.now_us
         return tokens < 0
--- a/lilacfront/frontends/platform.py
+++ b/lilacfront/frontends/platform.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import socket
-from collections.abc import Mapping
 
 from lilacfront.core.dispatcher import RequestDispatcher
 from lilacfront.core.model import Upstream
@@ -11,7 +10,7 @@
 from lilacfront.frontends.listener import ClientSlot, Listener
 from lilacfront.frontends.partial_messages import PartialMessageBudget
 from lilacfront.frontends.platform_connection import PlatformConnection
-from lilacfront.frontends.platform_services import PlatformClass, PlatformServices
+from lilacfront.frontends.platform_services import ClientNames, PlatformServices
 from lilacfront.frontends.process_state import DrainPolicy, HealthSource
 from lilacfront.operations.connection_transfer import TransferChannel
 from lilacfront.operations.transfer_messages import ConnectionPassed, Message, StateAnnouncement
@@ -33,7 +32,7 @@
         loop: Loop,
         dispatcher: RequestDispatcher,
         upstream: Upstream,
-        classes: Mapping[bytes, PlatformClass],
+        names: ClientNames,
         memory_bytes: int,
         health: HealthSource,
         drain_policy: DrainPolicy,
@@ -44,7 +43,7 @@
             loop=loop,
             dispatcher=dispatcher,
             upstream=upstream,
-            classes=classes,
+            names=names,
             health=health,
             drain_policy=drain_policy,
             partial_messages=self.partial_messages,
--- a/lilacfront/frontends/platform_messages.py
+++ b/lilacfront/frontends/platform_messages.py
@@ -102,7 +102,7 @@
             request = parse_request(
                 message,
                 received_at,
-                self._services.classes,
+                self._services.names,
                 self._services.open_call_ids,
                 self._requests.is_client_connected,
             )
--- a/lilacfront/frontends/platform_request_parser.py
+++ b/lilacfront/frontends/platform_request_parser.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import re
 from collections.abc import Callable, Collection, Mapping
 from hashlib import blake2b
@@ -9,13 +10,16 @@
 from lilacfront.core.model import Request
 from lilacfront.core.statement import table_group
 from lilacfront.errors import LilacfrontError
-from lilacfront.frontends.platform_services import PlatformClass
+from lilacfront.frontends.platform_services import ClientNames
 from lilacfront.protocols import thrift
 
 CALL_ID = re.compile(rb"[0-9A-Fa-f]{16}")
 IDEMPOTENCY_KEY = re.compile(rb"[^\x00-\x20,=\x7f-\xff]{0,64}")  # must fit into a RESP field list
 MAX_DEADLINE_RATIO = 1.5  # maximum of the client's own deadline divided by the deadline of the class
 DEADLINE_MARGIN_S = 0.012  # time for receiving the request and sending the answer
+MAX_ESTIMATE = 1e12  # in the unit of the field
+IS_RETRY = b"1"  # value of the field that marks a client's retry
+US_PER_MS = 1000
 ORDERING_KEY_BYTES = 8  # size of the number that stands for an ordering key
 
 
@@ -26,7 +30,7 @@
 def parse_request(
     message: thrift.Message,
     received_at: float,
-    classes: Mapping[bytes, PlatformClass],
+    names: ClientNames,
     open_call_ids: Collection[bytes],
     is_client_connected: Callable[[], bool],
 ) -> Request:
@@ -35,39 +39,76 @@
     Args:
         message: The `invoke`.
         received_at: Time at which the message was complete, on the loop's clock.
-        classes: The request classes by the names that clients use.
+        names: The names that clients use.
         open_call_ids: Ids of the requests in flight.
         is_client_connected: See `Request`.
 
     Raises:
         InvalidInvokeError: A field or the statement is invalid.
     """
-    request_class = classes.get(message.fields.get(b"op", b""))
+    fields = message.fields
+    request_class = names.classes.get(fields.get(b"op", b""))
     if request_class is None:
         raise InvalidInvokeError("field op names no class")
-    call_id = message.fields.get(b"call", b"")
-    if not CALL_ID.fullmatch(call_id):
-        raise InvalidInvokeError("field call is not an id of 16 hex digits")
-    if call_id in open_call_ids:
-        # Engines identify a request by its id, so a second one with the same id would disturb the first.
-        raise InvalidInvokeError("this id is open already")
+    call_id = _call_id(fields.get(b"call", b""), open_call_ids)
     _check_statement(message.body)
-    timeout_s = _timeout_s(message.fields.get(b"ttl"), request_class.deadline_s)
-    idempotency_key = message.fields.get(b"dedupe", b"")
-    if not IDEMPOTENCY_KEY.fullmatch(idempotency_key):
-        raise InvalidInvokeError("field dedupe is no idempotency key")
+    timeout_s = _timeout_s(fields.get(b"ttl"), request_class.deadline_s)
+    work_ms = _estimate(fields, b"work")
     return Request(
         call_id,
         request_class.index,
         received_at + max(timeout_s - DEADLINE_MARGIN_S, timeout_s / 2),
         message.body,
         table_group(message.body),
-        idempotency_key=idempotency_key,
-        ordering_key=_ordering_key(message.fields.get(b"row", b"")) if request_class.is_ordered else 0,
+        idempotency_key=_idempotency_key(fields.get(b"dedupe", b"")),
+        ordering_key=_ordering_key(fields.get(b"row", b"")) if request_class.is_ordered else 0,
+        tenant=_tenant(fields.get(b"org"), names),
+        is_client_retry=fields.get(b"rep") == IS_RETRY,
+        estimated_work_us=None if work_ms is None else int(work_ms * US_PER_MS),
+        estimated_memory_mb=_estimate(fields, b"heap"),
         is_client_connected=is_client_connected,
     )
 
 
+def _call_id(call_id: bytes, open_call_ids: Collection[bytes]) -> bytes:
+    if not CALL_ID.fullmatch(call_id):
+        raise InvalidInvokeError("field call is not an id of 16 hex digits")
+    if call_id in open_call_ids:
+        # Engines identify a request by its id, so a second one with the same id would disturb the first.
+        raise InvalidInvokeError("this id is open already")
+    return call_id
+
+
+def _idempotency_key(text: bytes) -> bytes:
+    if not IDEMPOTENCY_KEY.fullmatch(text):
+        raise InvalidInvokeError("field dedupe is no idempotency key")
+    return text
+
+
+def _tenant(name: bytes | None, names: ClientNames) -> int | None:
+    """Return the index of the tenant; None without tenants, and for a client that names none."""
+    if name is None or not names.tenants:
+        return None
+    index = names.tenants.get(name)
+    if index is None:
+        raise InvalidInvokeError("field org names no tenant")
+    return index
+
+
+def _estimate(fields: Mapping[bytes, bytes], name: bytes) -> float | None:
+    """Return an estimate in the unit of its field; None if the field is absent or 0."""
+    text = fields.get(name)
+    if text is None:
+        return None
+    try:
+        value = float(text)
+    except ValueError:
+        value = math.nan
+    if not 0 <= value <= MAX_ESTIMATE:
+        raise InvalidInvokeError(f"field {name.decode()} is not a number from 0 to {MAX_ESTIMATE:g}")
+    return value or None
+
+
 def _check_statement(statement: bytes) -> None:
     try:
         text = statement.decode()
--- a/lilacfront/frontends/platform_services.py
+++ b/lilacfront/frontends/platform_services.py
@@ -28,6 +28,19 @@
     is_ordered: bool = False
 
 
+@dataclass(slots=True, frozen=True)
+class ClientNames:
+    """Names that the settings define and that clients use in their requests.
+
+    Attributes:
+        classes: The request classes by name.
+        tenants: The indices of the tenants by name; empty if the deployment has no tenants.
+    """
+
+    classes: Mapping[bytes, PlatformClass]
+    tenants: Mapping[bytes, int]
+
+
 @dataclass(slots=True, frozen=True)
 class PlatformServices:
     """Services of the process that a connection uses.
@@ -36,7 +49,7 @@
         loop: The event loop that runs the tasks of the connections.
         dispatcher: Decides which engine serves a request.
         upstream: Sends attempts to engines.
-        classes: The request classes by the names that clients use.
+        names: The names that clients use.
         health: Health that `ping` reports.
         drain_policy: Rejects new requests late in a drain.
         partial_messages: Limits the memory for incomplete messages.
@@ -47,7 +60,7 @@
     loop: Loop
     dispatcher: RequestDispatcher
     upstream: Upstream
-    classes: Mapping[bytes, PlatformClass]
+    names: ClientNames
     health: HealthSource
     drain_policy: DrainPolicy
     partial_messages: PartialMessageBudget
--- a/lilacfront/server/builders.py
+++ b/lilacfront/server/builders.py
@@ -7,7 +7,7 @@
 from lilacfront.config import Config
 from lilacfront.core.dispatcher import RequestDispatcher
 from lilacfront.core.model import Upstream
-from lilacfront.frontends.platform_services import PlatformClass
+from lilacfront.frontends.platform_services import ClientNames, PlatformClass
 from lilacfront.sched import Loop
 from lilacfront.teams.cost_model import CostModel
 from lilacfront.teams.scheduler import TeamScheduler
@@ -78,11 +78,13 @@
     return RequestDispatcher(loop, config.policy, config.seed, upstream, team_scheduler)
 
 
-def platform_classes(config: Config) -> dict[bytes, PlatformClass]:
-    """Return the request classes, by the name that clients of the platform's protocol send."""
-    return {
+def client_names(config: Config) -> ClientNames:
+    """Return the names that clients of the platform's protocol use."""
+    classes = {
         name.encode(): PlatformClass(index, request_class.deadline_us / 1e6, request_class.is_ordered)
         for index, (name, request_class) in enumerate(
             zip(config.class_names, config.policy.classes, strict=True)
         )
     }
+    tenants = {name.encode(): index for index, name in enumerate(config.tenant_names)}
+    return ClientNames(classes, tenants)
--- a/lilacfront/server/server.py
+++ b/lilacfront/server/server.py
@@ -18,7 +18,7 @@
 from lilacfront.operations.drain import Drain
 from lilacfront.operations.service import Operations
 from lilacfront.sched import Loop
-from lilacfront.server.builders import ProcessLimits, build_dispatcher, build_upstream, platform_classes
+from lilacfront.server.builders import ProcessLimits, build_dispatcher, build_upstream, client_names
 from lilacfront.server.client_listeners import ClientListeners
 from lilacfront.server.config_reload import ConfigReloader
 from lilacfront.server.endpoint_feed import EndpointFeed
@@ -181,7 +181,7 @@
             self.loop,
             self.dispatcher,
             self.upstream,
-            platform_classes(self.config),
+            client_names(self.config),
             self.config.memory_bytes,
             self.operations,
             self.operations.drain_controller,
