Debug log line `error response received`: status, code and how the error counts

Change: the ClickHouse upstream logs each error response with engine, status, exception code, the ending it is given, and 200 bytes of its text. No behaviour changes.

--- a/lilacfront/upstream/clickhouse_attempt.py
+++ b/lilacfront/upstream/clickhouse_attempt.py
@@ -12,10 +12,13 @@
     Request,
     ResponseSink,
 )
+from lilacfront.logs import Log
 from lilacfront.protocols import http1
 from lilacfront.sched import Chunk, Interrupted, Stream, Task, Wait
 
+log = Log(__name__)
 MAX_ERROR_TEXT_BYTES = 64 << 10
+MAX_LOGGED_TEXT_BYTES = 200
 STATUS_OK = 200
 MIN_SERVER_ERROR_STATUS = 500
 # The statement never ran: TOO_MANY_SIMULTANEOUS_QUERIES, SERVER_OVERLOADED.
@@ -48,6 +51,7 @@
     def __init__(self, stream: Stream, request: Request, engine: EngineAddress) -> None:
         self.head: http1.Head | None = None
         self._stream = stream
+        self._engine = engine
         self._parser = http1.Parser(responses=True)
         self._error_text = b""
         self._is_complete = False
@@ -133,10 +137,21 @@
         """
         text = self._error_text[:MAX_ERROR_TEXT_BYTES]
         code = exception_code(head, text)
+        ending = AttemptEnding.COMPLETED
         if code in REJECTION_CODES:
-            return AttemptOutcome(AttemptEnding.REJECTED, DeliveryStage.RESPONDING, None, text)
-        if code in SERVER_FAULT_CODES or (code is None and head.status >= MIN_SERVER_ERROR_STATUS):
-            return AttemptOutcome(AttemptEnding.ERROR, DeliveryStage.RESPONDING, None, text)
+            ending = AttemptEnding.REJECTED
+        elif code in SERVER_FAULT_CODES or (code is None and head.status >= MIN_SERVER_ERROR_STATUS):
+            ending = AttemptEnding.ERROR
+        log.debug(
+            "error response received",
+            engine=self._engine.address,
+            status=head.status,
+            code=code,
+            ending=ending.value,
+            text=text[:MAX_LOGGED_TEXT_BYTES],
+        )
+        if ending is not AttemptEnding.COMPLETED:
+            return AttemptOutcome(ending, DeliveryStage.RESPONDING, None, text)
         sink.start(head)
         sink.write(text)
         return AttemptOutcome(AttemptEnding.COMPLETED, DeliveryStage.RESPONDING)
