An HTTP warehouse's error is no result: the platform's clients get a Fault

Cause: clickhouse_attempt._error_outcome ended an attempt as COMPLETED, with the text as its result, for every code outside a list of ten; only the status in the head told it from a result, and ResultBuffer drops the head. The router took these attempts for good ones, so nothing was repeated elsewhere and the warehouse was not left out. Change: AttemptEnding.STATEMENT_ERROR and the final answer StatementFailed: a Fault for the platform, the warehouse's response for HTTP clients. Only what is known to be the statement's own ends so (status below 500, 501, or a code of StatementErrorCode); any other error is one of the engine. Each kind of code is an enum in upstream/clickhouse_exceptions.py. Why it works: no ending that carries an error is COMPLETED any more, so no front end has to tell an error from a result.

--- a/lilacfront/core/attempt_reporter.py
+++ b/lilacfront/core/attempt_reporter.py
@@ -6,7 +6,15 @@
 from lilacfront.core.action_executor import ActionExecutor
 from lilacfront.core.attempt_results import attempt_result
 from lilacfront.core.in_flight import InFlightRequest
-from lilacfront.core.model import AttemptEnding, AttemptOutcome, Completed, Failed, Notification
+from lilacfront.core.model import (
+    AttemptEnding,
+    AttemptOutcome,
+    Completed,
+    Failed,
+    FinalAnswer,
+    Notification,
+    StatementFailed,
+)
 from lilacfront.decisions.events import AttemptEnded, AttemptNotification, ResponseStarted
 from lilacfront.sched import Loop
 
@@ -45,10 +53,9 @@
         assignment = in_flight.assignment
         assert assignment is not None
         in_flight.end_attempt(outcome.never_ran, outcome.detail, self._loop.now)
-        is_completed = outcome.ending is AttemptEnding.COMPLETED
         was_decided = in_flight.decision is not None
-        if not was_decided and (is_completed or has_started):
-            in_flight.decision = Completed() if is_completed else Failed(detail=in_flight.error_detail)
+        if not was_decided:
+            in_flight.decision = _final_answer(outcome, has_started, in_flight.error_detail)
         request_log.attempt_ended(in_flight, assignment, outcome, self._loop.now)
         self._executor.handle(
             AttemptEnded(
@@ -57,7 +64,18 @@
                 assignment.engine.number,
                 attempt_result(outcome),
                 0,
-                is_completed or has_started or was_decided,
+                in_flight.decision is not None,
                 report=outcome.load_report,
             )
         )
+
+
+def _final_answer(outcome: AttemptOutcome, has_started: bool, error_detail: bytes) -> FinalAnswer | None:
+    """Return the final answer if the request ends with this attempt; None if the router has to decide."""
+    match outcome.ending:
+        case AttemptEnding.COMPLETED:
+            return Completed()
+        case AttemptEnding.STATEMENT_ERROR:
+            return StatementFailed()
+        case _:
+            return Failed(detail=error_detail) if has_started else None
--- a/lilacfront/core/attempt_results.py
+++ b/lilacfront/core/attempt_results.py
@@ -7,6 +7,8 @@
 
 _RESULTS_IF_MAY_HAVE_RUN = {
     AttemptEnding.COMPLETED: AttemptResult.OK,
+    # The engine has answered as it should, so the error does not count against it.
+    AttemptEnding.STATEMENT_ERROR: AttemptResult.OK,
     AttemptEnding.ERROR: AttemptResult.ERROR,
     AttemptEnding.CONNECTION_LOST: AttemptResult.RESET,
     AttemptEnding.TIMED_OUT: AttemptResult.TIMEOUT,
--- a/lilacfront/core/lifecycle.py
+++ b/lilacfront/core/lifecycle.py
@@ -27,7 +27,8 @@
         sink: Receives the response of each attempt.
 
     Returns:
-        The final answer; if it is `Completed`, the sink has received the whole result.
+        The final answer; if it is `Completed`, the sink has received the whole result, and if it is
+        `StatementFailed`, the engine's error response.
     """
     while True:
         decision = dispatcher.next_decision(in_flight)
--- a/lilacfront/core/model.py
+++ b/lilacfront/core/model.py
@@ -35,6 +35,7 @@
     COMPLETED = "completed"
     REJECTED = "rejected"  # the engine reports that it did not run the request
     ERROR = "error"  # the engine reports a failure; the request may have run
+    STATEMENT_ERROR = "statement error"  # the engine reports an error that the statement causes on any engine
     CONNECT_FAILED = "connect failed"
     CONNECTION_LOST = "connection lost"  # also used if the response can't be parsed
     TIMED_OUT = "timed out"
@@ -169,12 +170,17 @@
     """Final answer: the response sink has received the whole result."""
 
 
+@dataclass(slots=True, frozen=True)
+class StatementFailed:
+    """Final answer: the statement itself is at fault; the response sink has the engine's error response."""
+
+
 @dataclass(slots=True, frozen=True)
 class Cancelled:
     """Final answer: the client has disconnected, so no answer is sent."""
 
 
-FinalAnswer = Rejected | Failed | Completed | Cancelled
+FinalAnswer = Rejected | Failed | StatementFailed | Completed | Cancelled
 RoutingDecision = Assignment | FinalAnswer
 
 
--- a/lilacfront/frontends/clickhouse_connection.py
+++ b/lilacfront/frontends/clickhouse_connection.py
@@ -4,7 +4,7 @@
 
 from lilacfront.core.in_flight import InFlightRequest
 from lilacfront.core.lifecycle import run_request
-from lilacfront.core.model import Cancelled, Completed, Failed, FinalAnswer, Rejected
+from lilacfront.core.model import Cancelled, Completed, Failed, FinalAnswer, Rejected, StatementFailed
 from lilacfront.frontends.clickhouse_errors import (
     ErrorCode,
     InvalidQueryError,
@@ -144,7 +144,7 @@
 
     def _send_final_answer(self, answer: FinalAnswer, result: StreamedResult) -> None:
         match answer:
-            case Completed():
+            case Completed() | StatementFailed():
                 result.finish()
             case Cancelled():
                 self._stream.close()
--- a/lilacfront/frontends/platform_requests.py
+++ b/lilacfront/frontends/platform_requests.py
@@ -6,7 +6,7 @@
 
 from lilacfront.core.in_flight import InFlightRequest
 from lilacfront.core.lifecycle import run_request
-from lilacfront.core.model import Completed, Failed, FinalAnswer, Rejected, Request
+from lilacfront.core.model import Completed, Failed, FinalAnswer, Rejected, Request, StatementFailed
 from lilacfront.frontends.connection_handover import ConnectionHandover, TransferKey
 from lilacfront.frontends.deferred_messages import DeferredMessages
 from lilacfront.frontends.listener import ClientSlot
@@ -122,7 +122,7 @@
             case Rejected(retry_after_ms):
                 fields = {b"pushback": b"%d" % retry_after_ms} if retry_after_ms else {}
                 self._send_answer(seqid, thrift.encode_shed(seqid, fields))
-            case Failed():
+            case Failed() | StatementFailed():
                 self._send_answer(seqid, thrift.encode_fault(seqid, {}))
 
     def _send_answer(self, seqid: int, frame: bytes) -> None:
--- a/lilacfront/upstream/clickhouse_attempt.py
+++ b/lilacfront/upstream/clickhouse_attempt.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import re
-
 from lilacfront.core.model import (
     AttemptEnding,
     AttemptOutcome,
@@ -15,30 +13,12 @@
 from lilacfront.logs import Log
 from lilacfront.protocols import http1
 from lilacfront.sched import Chunk, Interrupted, Stream, Task, Wait
+from lilacfront.upstream.clickhouse_exceptions import error_ending, exception_code
 
 log = Log(__name__)
 MAX_ERROR_TEXT_BYTES = 64 << 10
 MAX_LOGGED_TEXT_BYTES = 200
 STATUS_OK = 200
-MIN_SERVER_ERROR_STATUS = 500
-# The statement never ran: TOO_MANY_SIMULTANEOUS_QUERIES, SERVER_OVERLOADED.
-REJECTION_CODES = frozenset((202, 745))
-# Caused by the state of the server, not by the statement: TIMEOUT_EXCEEDED, SOCKET_TIMEOUT, NETWORK_ERROR,
-# ABORTED, MEMORY_LIMIT_EXCEEDED, TABLE_IS_READ_ONLY, ALL_CONNECTION_TRIES_FAILED, QUERY_WAS_CANCELLED,
-# SYSTEM_ERROR, KEEPER_EXCEPTION.
-SERVER_FAULT_CODES = frozenset((159, 209, 210, 236, 241, 242, 279, 394, 425, 999))
-MAX_CODE_DIGITS = 5
-CODE_EXCERPT_BYTES = 200  # start of an error text that is searched for the code
-_CODE = re.compile(rb"Code: (\d{1,5})\b")
-
-
-def exception_code(head: http1.Head, text: bytes) -> int | None:
-    """Return the ClickHouse error code of a response, None if it has none."""
-    header = head.get(b"x-clickhouse-exception-code")
-    if header.isdigit() and len(header) <= MAX_CODE_DIGITS:
-        return int(header)
-    match = _CODE.search(text[:CODE_EXCERPT_BYTES])
-    return int(match[1]) if match is not None else None
 
 
 class ClickHouseAttempt:
@@ -132,16 +112,12 @@
     def _error_outcome(self, head: http1.Head, sink: ResponseSink) -> AttemptOutcome:
         """Return the outcome for an error response.
 
-        An error caused by the engine's state ends the attempt as rejected or failed. An error caused by the
-        statement is the result and is forwarded to the client.
+        An error of the statement itself ends the request, and the sink receives the response. An error of
+        the engine does not: the router decides whether another engine may run the request.
         """
         text = self._error_text[:MAX_ERROR_TEXT_BYTES]
         code = exception_code(head, text)
-        ending = AttemptEnding.COMPLETED
-        if code in REJECTION_CODES:
-            ending = AttemptEnding.REJECTED
-        elif code in SERVER_FAULT_CODES or (code is None and head.status >= MIN_SERVER_ERROR_STATUS):
-            ending = AttemptEnding.ERROR
+        ending = error_ending(head.status, code)
         log.debug(
             "error response received",
             engine=self._engine.address,
@@ -150,11 +126,10 @@
             ending=ending.value,
             text=text[:MAX_LOGGED_TEXT_BYTES],
         )
-        if ending is not AttemptEnding.COMPLETED:
-            return AttemptOutcome(ending, DeliveryStage.RESPONDING, None, text)
-        sink.start(head)
-        sink.write(text)
-        return AttemptOutcome(AttemptEnding.COMPLETED, DeliveryStage.RESPONDING)
+        if ending is AttemptEnding.STATEMENT_ERROR:
+            sink.start(head)
+            sink.write(text)
+        return AttemptOutcome(ending, DeliveryStage.RESPONDING, None, text)
 
     def _delivery_stage(self) -> DeliveryStage:
         if self.head is not None:
--- a/tests/core/test_pinned_dispatcher.py
+++ b/tests/core/test_pinned_dispatcher.py
@@ -31,6 +31,7 @@
     Rejected,
     Request,
     ResponseSink,
+    StatementFailed,
 )
 from lilacfront.decisions.events import (
     Endpoint,
@@ -72,6 +73,8 @@
             return ("rejected", answer.retry_after_ms, answer.wait_range_ms)
         case Failed():
             return ("failed", answer.is_deadline_exceeded, answer.detail)
+        case StatementFailed():
+            return ("statement failed",)
         case Completed():
             return ("completed",)
         case Cancelled():
--- a/tests/frontends/test_exchanges.py
+++ b/tests/frontends/test_exchanges.py
@@ -5,11 +5,19 @@
 from collections.abc import Callable
 
 import pytest
-from play import EXCHANGES_DIRECTORY, SETTINGS, Dialect, Etcd, Harness, Http, ThriftResp
+from play import EXCHANGES_DIRECTORY, SETTINGS, Dialect, Etcd, Harness, Http, ThriftHttp, ThriftResp
 
 PROTOCOL_PATHS = pytest.mark.parametrize(
     "path", [pytest.param(ThriftResp, id="thrift-resp"), pytest.param(Http, id="http")]
 )
+ALL_PATHS = pytest.mark.parametrize(
+    "path",
+    [
+        pytest.param(ThriftResp, id="thrift-resp"),
+        pytest.param(Http, id="http"),
+        pytest.param(ThriftHttp, id="thrift-http"),
+    ],
+)
 # The first line of an exchange can ask for settings other than the defaults.
 ONE_STREAM, DEFAULT_STREAMS = 1, 32
 FEW_DESCRIPTORS, DEFAULT_DESCRIPTORS = 16, 1024
@@ -23,7 +31,7 @@
 
 
 @pytest.mark.parametrize("split", [False, True], ids=["whole", "bytewise"])
-@PROTOCOL_PATHS
+@ALL_PATHS
 @exchanges("rules")
 def test_rule(name: str, path: Callable[[], Dialect], split: bool) -> None:
     play(f"rules/{name}", path(), split)
@@ -45,6 +53,12 @@
     play(f"clickhouse/{name}", Http())
 
 
+# review/1: an HTTP warehouse's error reached the platform's clients as a result.
+@exchanges("http_warehouses")
+def test_http_warehouses(name: str) -> None:
+    play(f"http_warehouses/{name}", ThriftHttp())
+
+
 @exchanges("etcd")
 def test_etcd(name: str) -> None:
     play(f"etcd/{name}", Etcd())
--- a/tests/play/__init__.py
+++ b/tests/play/__init__.py
@@ -32,6 +32,7 @@
 from play.harness import TICK_S, Harness
 from play.http import Http
 from play.settings import EXCHANGES_DIRECTORY, GATEWAY, SETTINGS
+from play.thrift_http import ThriftHttp
 from play.thrift_resp import ThriftResp, encode_resp
 
 __all__ = [
@@ -46,6 +47,7 @@
     "Etcd",
     "Harness",
     "Http",
+    "ThriftHttp",
     "ThriftResp",
     "encode_resp",
     "encode_rows",
--- a/tests/play/settings.py
+++ b/tests/play/settings.py
@@ -34,14 +34,19 @@
     },
     "safety": {"answer-slack": 20_000, "stop-sending-within": 500_000},
 }
-GATEWAY = """
+HTTP_WAREHOUSES = """
+[warehouses]
+protocol = "clickhouse"
+"""
+GATEWAY = (
+    """
 [clickhouse]
 listen = "127.0.0.1:0"
 read_class = "report"
 load_class = "load"
 rules = [{class = "lookup", user = "dash"}]
-[warehouses]
-protocol = "clickhouse"
 """
+    + HTTP_WAREHOUSES
+)
 # With these ids, W1 is first in the engine order of table group 17 for reads and last for loads.
 INSTANCE_IDS = {"W1": "s-3", "W2": "s-1"}
