An error in place of rows is no result for the platform's clients

Change: a response sink says whether the complete result has the form of its client's protocol: rows of three columns in UTF-8 for the platform (core/result_rows.py, used for RESP pages as well), any form for HTTP clients. Another one is an error of the engine.

--- a/lilacfront/core/model.py
+++ b/lilacfront/core/model.py
@@ -204,6 +204,10 @@
         """Accept a part of the result, waiting for a slow client; return False to abort the attempt."""
         ...
 
+    def is_valid_result(self) -> bool:
+        """Whether the complete result has the form that the client's protocol prescribes."""
+        ...
+
 
 class Upstream(Protocol):
     """Sends attempts to engines; failures are reported in the outcome, never raised.
--- a/lilacfront/frontends/clickhouse_result.py
+++ b/lilacfront/frontends/clickhouse_result.py
@@ -55,6 +55,10 @@
             self.in_flight.task, self.in_flight.request.deadline, MAX_UNREAD_BYTES
         )
 
+    def is_valid_result(self) -> bool:
+        """Return True: HTTP clients choose the format of their results."""
+        return True
+
     def finish(self) -> None:
         """Write the rest of a complete result."""
         if self.has_started:
--- a/lilacfront/frontends/result_buffer.py
+++ b/lilacfront/frontends/result_buffer.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from lilacfront.core.result_rows import are_rows
+
 MAX_RESULT_BYTES = 48_000
 
 
@@ -28,3 +30,7 @@
         """Append a part; return False if the result exceeds `MAX_RESULT_BYTES`."""
         self.body += data
         return len(self.body) <= MAX_RESULT_BYTES
+
+    def is_valid_result(self) -> bool:
+        """Whether the result consists of complete rows; an engine's error text in its place does not."""
+        return are_rows(self.body)
--- a/lilacfront/upstream/clickhouse_attempt.py
+++ b/lilacfront/upstream/clickhouse_attempt.py
@@ -107,6 +107,9 @@
         assert self.head is not None
         if self.head.status != STATUS_OK:
             return self._error_outcome(self.head, sink)
+        if not sink.is_valid_result():
+            detail = b"the answer does not consist of rows"
+            return AttemptOutcome(AttemptEnding.ERROR, DeliveryStage.RESPONDING, None, detail)
         return AttemptOutcome(AttemptEnding.COMPLETED, DeliveryStage.RESPONDING)
 
     def _error_outcome(self, head: http1.Head, sink: ResponseSink) -> AttemptOutcome:
--- a/lilacfront/upstream/resp_messages.py
+++ b/lilacfront/upstream/resp_messages.py
@@ -5,10 +5,10 @@
 
 from __future__ import annotations
 
-import re
 from dataclasses import dataclass, field
 
 from lilacfront.core.model import Notification
+from lilacfront.core.result_rows import are_rows
 from lilacfront.decisions.events import LoadReport, NotificationKind
 from lilacfront.protocols import resp
 
@@ -23,8 +23,6 @@
 # notification.
 HIT, PART, SHED, LATE, FAULT, INFO = b"HIT", b"PART", b"SHED", b"LATE", b"FAULT", b"INFO"
 ANSWERS_WITHOUT_RESULT = (SHED, LATE, FAULT, INFO)
-# Complete rows of three columns of text.
-ROWS = re.compile(rb"(?:[^\x00-\x1f\x7f]*\t[^\x00-\x1f\x7f]*\t[^\x00-\x1f\x7f]*\n)*")
 NOTIFICATION_KINDS = {b"so_far": NotificationKind.PROGRESS, b"lacking": NotificationKind.SPILLING}
 # Alternative names of each value in a load report; the first one that is present counts.
 UTILIZATION_FIELDS = (b"util", b"cpu")
@@ -107,7 +105,7 @@
         if not 0 <= number < self.page_count:
             raise resp.RespError(f"page number {number} is not between 0 and {self.page_count - 1}")
         # A page that is not made of complete rows of text was corrupted and must not reach a client.
-        if ROWS.fullmatch(body) is None or not _is_utf8(body):
+        if not are_rows(body):
             raise resp.RespError(f"page {number} does not consist of complete UTF-8 rows of three columns")
         self.pages[number] = body
         if sum(map(len, self.pages.values())) > MAX_RESULT_BYTES:
@@ -164,11 +162,3 @@
     except ValueError:
         return None
     return value if abs(value) < MAX_NUMBER else None
-
-
-def _is_utf8(data: bytes) -> bool:
-    try:
-        data.decode()
-    except UnicodeDecodeError:
-        return False
-    return True
--- a/tests/core/test_pinned_dispatcher.py
+++ b/tests/core/test_pinned_dispatcher.py
@@ -96,6 +96,9 @@
     def write(self, data: bytes) -> bool:  # noqa: ARG002 - as in ResponseSink
         return True
 
+    def is_valid_result(self) -> bool:
+        return True
+
 
 class Traffic:
     """Generates requests, engine responses, client disconnects and endpoint lists from one seed."""
--- a/tests/upstream/test_connections.py
+++ b/tests/upstream/test_connections.py
@@ -50,6 +50,9 @@
     def write(self, data: bytes) -> bool:  # noqa: ARG002 - as in ResponseSink
         raise AssertionError
 
+    def is_valid_result(self) -> bool:
+        raise AssertionError
+
 
 def resp_upstream(loop: Loop) -> Upstream:
     return RespUpstream(loop, (b"lookup",), 32, 1, 30, 9)
