The experiments' digests hold on every processor: exp in decimal arithmetic

Change: experiments/portable_math.py computes exp in decimal arithmetic of 30 digits and rounds once. Left: the Zipf weights of the load generator use numpy's power, whose last bit differs by processor; no draw is known to differ.

--- a/lilacfront/experiments/simulation.py
+++ b/lilacfront/experiments/simulation.py
@@ -28,6 +28,7 @@
 )
 from lilacfront.decisions.router import RequestRouter
 from lilacfront.decisions.settings import Idempotency, PolicyLimits, PolicySettings, RequestClass
+from lilacfront.experiments import portable_math
 from lilacfront.experiments.experiment_file import ClassEntry, Experiment, ExperimentFile
 from lilacfront.experiments.findings import Findings, ObservedWait
 from lilacfront.lab.engines import EngineModel
@@ -235,7 +236,7 @@
         experiment = self._experiment
         class_index = experiment.class_names.index(scheduled.profile.class_name)
         entry = experiment.file.classes[class_index]
-        execution_s = entry.median_s * float(np.exp(entry.sigma * self._random.standard_normal()))
+        execution_s = entry.median_s * portable_math.exp(entry.sigma * self._random.standard_normal())
         team = experiment.teams.team_of(scheduled.profile.user.encode(), (), class_index, scheduled.statement)
         deadline = self._now + entry.deadline_s
         request = SimulatedRequest(scheduled, class_index, team, self._now, deadline, execution_s)
