The next load of a key waits until the answer to the earlier one can have arrived

Cause: the router forwards the next request of a key in the event that ends the earlier one, so both the answer and the request leave in one turn of the loop, on two connections. Flushes run in the order of their first write: where many answers arrive in that turn, the engine's connection may come first. PROTOCOL.md counts a request as served once the client has the last row.

--- a/lilacfront/core/dispatcher.py
+++ b/lilacfront/core/dispatcher.py
@@ -12,6 +12,7 @@
 
 from lilacfront.core import request_log
 from lilacfront.core.action_executor import DEADLINE_GRACE_S, ActionExecutor
+from lilacfront.core.answer_transit import AnswerTransit
 from lilacfront.core.attempt_reporter import AttemptReporter
 from lilacfront.core.endpoints import ReadyEngines
 from lilacfront.core.hooks import AdmissionPolicy, EngineConnections, PeerTransport
@@ -76,6 +77,7 @@
         self._requests: dict[int, InFlightRequest] = {}
         self._numbers = count(1)
         self._timers = Timers(loop)
+        self._answer_transit = AnswerTransit(loop)
         self._engines = ReadyEngines(connections, settings.machine_type_cores)
         self._executor = ActionExecutor(
             loop, settings, self.router, self._requests, self._engines, self._timers
@@ -158,8 +160,12 @@
         in_flight.decision = None
         if isinstance(decision, Assignment):
             in_flight.start_attempt(decision, self._loop.now)
+            self._loop.sleep(
+                in_flight.task, self._answer_transit.earliest_send(in_flight.request.ordering_key)
+            )
             return decision
         request_log.answered(in_flight, decision, self._loop.now)
+        self._answer_transit.record_answer(in_flight.request.ordering_key)
         self._remove(in_flight)
         return decision
 
