An HTTP answer must name its request: late copies of earlier answers are nobody's

Cause: upstream/clickhouse.py used a connection again at once and took the first response on it for the next request's; bytes that came in one read with the end of a response were dropped unseen (the parser was between messages again). Change: a response has to name the query id that the request was sent with. On a connection that has carried no request before it may name none, but no other one. A connection is kept only if its last response named one and nothing followed it; requests without a query id get a connection of their own, for which an idle one is closed at the limit. An unproven response ends connection and attempt; if no byte of the request had left, it provably never ran. Log line `unproven response`. Not measured: what the connections of clients without a query id cost.

--- a/lilacfront/core/model.py
+++ b/lilacfront/core/model.py
@@ -80,6 +80,7 @@
         body: Request body, forwarded as received.
         table_group: Number of the table group that the request reads; 0 if unknown.
         protocol_context: Data that the frontend passes to an upstream of the same protocol.
+        query_id: Id that the client named for the engine, which names it in its response; empty if none.
         user: User name of the client; used only to choose the team.
         headers: Headers of the request; used only to choose the team.
         statement: The statement, if the body contains more than the statement.
@@ -98,6 +99,7 @@
     body: bytes
     table_group: int = 0
     protocol_context: object = None
+    query_id: bytes = b""
     user: bytes = b""
     headers: Sequence[tuple[bytes, bytes]] = ()
     statement: bytes = b""
--- a/lilacfront/frontends/clickhouse_request_parser.py
+++ b/lilacfront/frontends/clickhouse_request_parser.py
@@ -129,6 +129,7 @@
         http_request.body,
         _table_group(statement, head, target),
         head,
+        target.first(b"query_id"),
         user,
         head.headers,
         statement,
--- a/lilacfront/frontends/platform_request_parser.py
+++ b/lilacfront/frontends/platform_request_parser.py
@@ -60,6 +60,7 @@
         received_at + max(timeout_s - DEADLINE_MARGIN_S, timeout_s / 2),
         message.body,
         table_group(message.body),
+        query_id=call_id,
         idempotency_key=_idempotency_key(fields.get(b"dedupe", b"")),
         ordering_key=_ordering_key(fields.get(b"row", b"")) if request_class.is_ordered else 0,
         tenant=_tenant(fields.get(b"org"), names),
--- a/lilacfront/upstream/clickhouse.py
+++ b/lilacfront/upstream/clickhouse.py
@@ -69,7 +69,9 @@
         context: AttemptContext,
     ) -> AttemptOutcome:
         """Make one attempt; see `core.model.Upstream`."""
-        stream = self._pop_idle(assignment.engine) or self._connect(task, assignment)
+        # Without a query id a response can't be told from one to an earlier request on the same connection.
+        idle = self._pop_idle(assignment.engine) if request.query_id else None
+        stream = idle or self._connect(task, assignment)
         if isinstance(stream, AttemptEnding):
             return AttemptOutcome(stream, DeliveryStage.NOT_CONNECTED)
         # The request is sent right below, with no wait after this check.
@@ -79,7 +81,7 @@
             return AttemptOutcome(ending, DeliveryStage.CONNECTED)
         self._busy[stream] = assignment.engine
         try:
-            attempt = ClickHouseAttempt(stream, request, assignment.engine)
+            attempt = ClickHouseAttempt(stream, request, assignment.engine, is_first=idle is None)
             outcome = attempt.run(task, assignment.deadline, self._stall_timeout_s, sink)
         finally:
             del self._busy[stream]
@@ -93,7 +95,7 @@
 
     def _connect(self, task: Task, assignment: Assignment) -> Stream | AttemptEnding:
         """Return a new connection, or the ending of the attempt if there is none."""
-        if len(self._busy) + sum(map(len, self._idle.values())) >= self.max_connections:
+        if not self._make_room():
             # The limit is one of this process, so the attempt must not count as a failure of the engine.
             return AttemptEnding.NOT_SENT
         connect_deadline = self.loop.now + self._connect_timeout_s
@@ -112,6 +114,18 @@
             return AttemptEnding.NOT_SENT
         return AttemptEnding.CONNECT_FAILED
 
+    def _make_room(self) -> bool:
+        """Whether another connection may be opened, after closing an idle one if that is necessary."""
+        self._close_expired()
+        if len(self._busy) + sum(map(len, self._idle.values())) < self.max_connections:
+            return True
+        idle = [connections for connections in self._idle.values() if connections]
+        if not idle:
+            return False
+        first = min(idle, key=lambda connections: connections[0].expires_at)
+        first.pop(0).stream.close()
+        return True
+
     def _pop_idle(self, engine: EngineAddress) -> Stream | None:
         """Remove and return an idle connection that the engine has not closed."""
         self._close_expired()
--- a/lilacfront/upstream/clickhouse_attempt.py
+++ b/lilacfront/upstream/clickhouse_attempt.py
@@ -19,19 +19,34 @@
 MAX_ERROR_TEXT_BYTES = 64 << 10
 MAX_LOGGED_TEXT_BYTES = 200
 STATUS_OK = 200
+QUERY_ID_HEADER = b"x-clickhouse-query-id"
 
 
 class ClickHouseAttempt:
     """Sends a request and receives its response.
 
+    A late second copy of an earlier response must not be taken for the response to this request. So a
+    response has to name the request's query id; only the first response on a connection may name none.
+
     Attributes:
         head: The head of the response; None until it has been received.
     """
 
-    def __init__(self, stream: Stream, request: Request, engine: EngineAddress) -> None:
+    def __init__(self, stream: Stream, request: Request, engine: EngineAddress, is_first: bool) -> None:
+        """Send the request.
+
+        Args:
+            stream: The connection.
+            request: The request.
+            engine: The engine at the other end.
+            is_first: Whether this is the first request on the connection.
+        """
         self.head: http1.Head | None = None
         self._stream = stream
         self._engine = engine
+        self._query_id = request.query_id
+        self._is_first = is_first
+        self._has_unsolicited_bytes = False
         self._parser = http1.Parser(responses=True)
         self._error_text = b""
         self._is_complete = False
@@ -44,6 +59,8 @@
         """Whether another request may be sent on the connection."""
         if self.head is None or not self.head.keep_alive or self._stream.closed:
             return False
+        if self._has_unsolicited_bytes or not self.head.get(QUERY_ID_HEADER):
+            return False
         return self._is_complete and self._last_chunk.is_fully_sent and self._parser.is_between_messages
 
     def run(self, task: Task, deadline: float, stall_timeout_s: float, sink: ResponseSink) -> AttemptOutcome:
@@ -71,14 +88,18 @@
         if self._parser.is_in_unframed_body or not received:
             # A result without a length ends with the connection, so a truncated one would look complete.
             return AttemptOutcome(AttemptEnding.CONNECTION_LOST, DeliveryStage.RESPONDING)
-        for part in parts:
+        for number, part in enumerate(parts, 1):
             outcome = self._handle_part(part, task, sink)
             if outcome is not None:
+                self._has_unsolicited_bytes = number < len(parts)
                 return outcome
         return None
 
     def _handle_part(self, part: http1.Part, task: Task, sink: ResponseSink) -> AttemptOutcome | None:
         match part:
+            case http1.Head() if not self._is_own_response(part):
+                detail = b"the answer is not proven to be to this request"
+                return AttemptOutcome(AttemptEnding.CONNECTION_LOST, self._delivery_stage(), None, detail)
             case http1.Head():
                 self.head = part
                 if part.status == STATUS_OK:
@@ -89,6 +110,18 @@
             case http1.End():
                 return self._handle_end(sink)
 
+    def _is_own_response(self, head: http1.Head) -> bool:
+        """Whether a response is proven to be to this request and not to an earlier one."""
+        query_id = head.get(QUERY_ID_HEADER)
+        if self._is_first and not (query_id and self._query_id):
+            return True
+        is_own = query_id == self._query_id
+        if not is_own:
+            log.warning(
+                "unproven response", engine=self._engine.address, expected=self._query_id, named=query_id
+            )
+        return is_own
+
     def _handle_body(self, data: bytes, task: Task, sink: ResponseSink) -> AttemptOutcome | None:
         assert self.head is not None
         if self.head.status != STATUS_OK:
--- a/tests/play/actors.py
+++ b/tests/play/actors.py
@@ -23,6 +23,7 @@
         connection: The current connection, which is the latest one.
         other_sockets: Earlier connections, and other sockets to close at the end.
         received: The bytes that the actor has received and the test has not consumed.
+        received_by_connection: All bytes that the actor has received, by connection.
         eof: Whether the front end has ended the current connection.
         was_reset: Whether a connection was reset by the front end.
         reads_all_connections: Whether the actor also reads from earlier connections, into the same buffer.
@@ -34,6 +35,7 @@
         self.connection: socket.socket | None = None
         self.other_sockets: list[socket.socket] = []
         self.received = b""
+        self.received_by_connection: dict[socket.socket, bytes] = {}
         self.eof = False
         self.was_reset = False
         self.reads_all_connections = False
@@ -78,6 +80,7 @@
 
     def _append(self, connection: socket.socket, data: bytes) -> None:
         self.received += data
+        self.received_by_connection[connection] = self.received_by_connection.get(connection, b"") + data
         if self.answer is not None and data:
             connection.sendall(self.answer(data))
 
