Idle HTTP connections hold nothing of their last request

Cause: while a connection waits for its next request, the variable `request` of ClickHouseConnection.run and the attribute `_in_flight` hold the last one with its body, whose bytes release_body has given back to the budget. The reader held a second copy while serving. Change: one request is one call (_serve_next), the attribute is cleared after the answer, the reader hands its body on without a copy.

--- a/lilacfront/frontends/clickhouse_connection.py
+++ b/lilacfront/frontends/clickhouse_connection.py
@@ -41,7 +41,7 @@
         self._stream = slot.stream
         self._reader = RequestReader(slot, services.bodies)
         self._is_serving = False
-        self._in_flight: InFlightRequest | None = None  # the most recent request
+        self._in_flight: InFlightRequest | None = None
         self._backoff_s = 0.0
         slot.owner = self
 
@@ -57,15 +57,9 @@
     # ---- serving ------------------------------------------------------------------------------------
     def run(self, task: Task) -> None:
         """Read and answer requests until the connection ends."""
-        keep_alive = True
         try:
-            while keep_alive and not self._stream.closed:
-                request = self._reader.receive(task)
-                if request is None:
-                    break
-                keep_alive = request.head.keep_alive and self._services.health.is_healthy()
-                self._serve(task, request, keep_alive)
-                self._reader.release_body()
+            while not self._stream.closed and self._serve_next(task):
+                pass
         except http1.HttpError as error:
             text = str(error).encode()
             self._stream.write(encode_error(error.status, ErrorCode.BAD_ARGUMENTS, text, keep_alive=False))
@@ -73,6 +67,20 @@
             self._reader.release_body()
             self._stream.close_gracefully(FINISH_TIMEOUT_S)
 
+    def _serve_next(self, task: Task) -> bool:
+        """Read and answer one request; return whether another one may follow.
+
+        When this returns, nothing of the request is reachable: an idle connection must not hold the memory
+        of a body that the budget does not count any more.
+        """
+        request = self._reader.receive(task)
+        if request is None:
+            return False
+        keep_alive = request.head.keep_alive and self._services.health.is_healthy()
+        self._serve(task, request, keep_alive)
+        self._reader.release_body()
+        return keep_alive
+
     def _serve(self, task: Task, http_request: HttpRequest, keep_alive: bool) -> None:
         method = http_request.head.method
         if http_request.is_ping:
@@ -93,6 +101,7 @@
         result.in_flight = in_flight
         self._in_flight = in_flight
         self._watch_client(task, in_flight)
+        self._in_flight = None
 
     def _answer_ping(self, method: bytes, keep_alive: bool) -> None:
         if self._services.health.is_healthy():
--- a/lilacfront/frontends/clickhouse_reader.py
+++ b/lilacfront/frontends/clickhouse_reader.py
@@ -44,7 +44,9 @@
         self._pipelined += data
 
     def release_body(self) -> None:
-        """Return the memory of the last request's body to the budget."""
+        """Free the last request's body, and return its memory to the budget."""
+        self._head = None
+        self._body = bytearray()
         self._account(0)
 
     def receive(self, task: Task) -> HttpRequest | None:
@@ -79,7 +81,9 @@
                 assert self._head is not None
                 self._had_request = True
                 self._slot.has_partial_message = False
-                return HttpRequest(self._head, bytes(self._body), Target.parse(self._head.target))
+                body = bytes(self._body)
+                self._body = bytearray()  # the budget counts one copy
+                return HttpRequest(self._head, body, Target.parse(self._head.target))
         return None
 
     def _begin(self, head: http1.Head) -> None:
