SIGTERM, SIGINT and SIGHUP only spawn a task: the shutdown never runs inside other code

Cause: Server.run called begin_shutdown in the signal handler; the shutdown publishes the stage, and StateWriter.save waits for its own lock, which the interrupted code holds. Change: Server.install_signal_handlers, whose handlers only spawn a task, as SIGHUP's did.

--- a/lilacfront/server/server.py
+++ b/lilacfront/server/server.py
@@ -141,13 +141,24 @@
         """Start the graceful shutdown, on SIGTERM."""
         self.shutdown.begin()
 
+    def install_signal_handlers(self) -> None:
+        """Handle SIGTERM, SIGINT and SIGHUP.
+
+        Each handler only spawns a task: the code that a signal interrupts may hold a lock, or be halfway
+        through a change of state, that the shutdown or the reload needs.
+        """
+        handlers = {
+            signal.SIGTERM: self.begin_shutdown,
+            signal.SIGINT: self.begin_shutdown,
+            signal.SIGHUP: self.reload_config,
+        }
+        for number, handle in handlers.items():
+            signal.signal(number, lambda *_, handle=handle: self.loop.spawn(lambda _: handle()))
+        signal.set_wakeup_fd(self.loop.wakeup_socket.fileno(), warn_on_full_buffer=False)
+
     def run(self) -> None:
         """Serve until the shutdown is complete."""
-        signal.signal(signal.SIGTERM, lambda *_: self.begin_shutdown())
-        signal.signal(signal.SIGINT, lambda *_: self.begin_shutdown())
-        # Reload in a task of its own, not in the code that the signal interrupts.
-        signal.signal(signal.SIGHUP, lambda *_: self.loop.spawn(lambda _: self.reload_config()))
-        signal.set_wakeup_fd(self.loop.wakeup_socket.fileno(), warn_on_full_buffer=False)
+        self.install_signal_handlers()
         log.debug(
             "settings",
             settings=self.config.policy,
