Request ids of HTTP clients begin at a random number in each process

Cause, read by the review: ClickHouseServices counted ids from 1 in each process. Change: consecutive numbers from a random one of 64 bits on.

--- a/lilacfront/frontends/clickhouse_services.py
+++ b/lilacfront/frontends/clickhouse_services.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 from itertools import count
@@ -12,6 +13,13 @@
 from lilacfront.frontends.process_state import HealthSource
 from lilacfront.sched import Loop
 
+CALL_NUMBER_BYTES = 8
+MAX_CALL_NUMBER = (1 << 8 * CALL_NUMBER_BYTES) - 1
+
+
+def _call_numbers() -> Iterator[int]:
+    return count(int.from_bytes(os.urandom(CALL_NUMBER_BYTES)))
+
 
 @dataclass(slots=True)
 class BodyBudget:
@@ -45,8 +53,12 @@
     classifier: StatementClassifier
     bodies: BodyBudget
     health: HealthSource
-    _call_numbers: Iterator[int] = field(default_factory=lambda: count(1))
+    _call_numbers: Iterator[int] = field(default_factory=_call_numbers)
 
     def next_call_id(self) -> bytes:
-        """Return a new request id that is unique in this process."""
-        return b"%016x" % next(self._call_numbers)
+        """Return a new request id.
+
+        Ids are consecutive from a random number on, so that neither another front end nor an earlier process
+        of this one has used them: engines and the recovery journal identify requests by their ids.
+        """
+        return b"%016x" % (next(self._call_numbers) & MAX_CALL_NUMBER)
