--- a/lilacfront/config/platform_file.py
+++ b/lilacfront/config/platform_file.py
@@ -13,7 +13,7 @@
 MIN_MEMORY_MB = 1
 
 
-class ProcessLimits(msgspec.Struct):
+class FrontEndLimits(msgspec.Struct):
     """`limits`: resources that all processes of one front end may use together."""
 
     cores: float = 1.0
@@ -28,7 +28,7 @@
     settings: dict[str, Any]
     name: str = ""
     seed: str = "0"
-    limits: ProcessLimits = msgspec.field(default_factory=ProcessLimits)
+    limits: FrontEndLimits = msgspec.field(default_factory=FrontEndLimits)
     changelog: str = ""
     known: CachedEvents = msgspec.field(default_factory=CachedEvents)
     peer_listen: str = ""
--- a/lilacfront/protocols/http1.py
+++ b/lilacfront/protocols/http1.py
@@ -117,12 +117,10 @@
 
     Attributes:
         parses_responses: Whether the messages are responses; otherwise they are requests.
-        expects_no_body: Whether the next response answers a HEAD request and so has no body.
     """
 
     def __init__(self, responses: bool) -> None:
         self.parses_responses = responses
-        self.expects_no_body = False
         self._buffer = bytearray()
         self._parts: list[Part] = []
         self._step = self._read_head
@@ -254,7 +252,7 @@
             raise HttpError(
                 501 if not self.parses_responses else 502, "a transfer coding other than chunked alone"
             )
-        if self.parses_responses and (self.expects_no_body or head.status in (204, 304) or head.status < 200):
+        if self.parses_responses and (head.status in (204, 304) or head.status < 200):
             return _Framing(length=0)
         if codings:
             return _Framing(chunked=True)
--- a/lilacfront/protocols/thrift.py
+++ b/lilacfront/protocols/thrift.py
@@ -22,7 +22,7 @@
 # Type ids of values.
 BOOL, BYTE, DOUBLE, I16, I32, I64, STRING, STRUCT, MAP, SET, LIST = 2, 3, 4, 6, 8, 10, 11, 12, 13, 14, 15
 SIZE_BY_TYPE = {BOOL: 1, BYTE: 1, DOUBLE: 8, I16: 2, I32: 4, I64: 8}
-UNKNOWN_METHOD, PROTOCOL_ERROR, INTERNAL_ERROR = 1, 7, 6  # codes of an application exception
+UNKNOWN_METHOD, PROTOCOL_ERROR = 1, 7  # codes of an application exception
 STOP = b"\x00"
 MIN_MAP_ENTRY_BYTES = 8  # the length prefixes of its key and value
 _I32 = struct.Struct(">i")
--- a/lilacfront/sched/stream.py
+++ b/lilacfront/sched/stream.py
@@ -222,12 +222,13 @@
     def is_idle(self) -> bool:
         """Whether the connection is open and has no unread bytes."""
         try:
-            # The peek returns one unread byte, or none after a close by the peer; both mean "not idle".
-            return not self.closed and len(self.sock.recv(1, socket.MSG_PEEK)) > 1
+            if not self.closed:
+                self.sock.recv(1, socket.MSG_PEEK)
         except BlockingIOError:
             return True
         except OSError:
-            return False
+            pass
+        return False  # closed, by either side, or with an unread byte
 
     def write(self, data: bytes, permit: Callable[[], bool] | None = None) -> Chunk:
         """Queue bytes, to be sent at the end of this turn if there is no `permit` or it returns True then.
