Order of a key across a replacement of the process: passed connections name their keys

Seen: the new test, real processes, on the code before: the second load is at a warehouse while the first is unanswered, every time. Change: ConnectionPassed has the ordering keys of the open requests as a last field, left out where there is none, so that older versions read it and write what they wrote. The new process holds a key back (OrderedKeys.hold) until the answer passes through it, the client gives up, or the old process ends; then the wait for the answer's arrival applies as for its own. Tests: test_ordered_handover fails before and passes now; holds in test_ordered_keys; the bytes of the message are pinned, those that were pinned are the same. Left, by reading: a load that the old process takes on a connection that can't be passed on yet does not wait for the new one's.

--- a/lilacfront/core/dispatcher.py
+++ b/lilacfront/core/dispatcher.py
@@ -137,6 +137,18 @@
         """Pass gossip from another gateway to the router."""
         self._executor.handle(PeerMessageReceived(sender, data))
 
+    def hold_key(self, ordering_key: int) -> None:
+        """Hold back requests of a key until `release_key`: another process serves an earlier one of the key.
+
+        A key of 0 stands for no key. Each call has to be followed by one of `release_key`.
+        """
+        self.router.hold_key(ordering_key)
+
+    def release_key(self, ordering_key: int) -> None:
+        """Release a key that is held because of one request, which has ended at the other process."""
+        self.router.release_key(ordering_key)
+        self._answer_transit.record_answer(ordering_key)
+
     # ---- request lifecycle --------------------------------------------------------------------------
     def submit(self, request: Request, task: Task) -> InFlightRequest:
         """Register a request from a frontend and queue or route it; see `next_decision`."""
--- a/lilacfront/decisions/ordered_keys.py
+++ b/lilacfront/decisions/ordered_keys.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import deque
+from collections import Counter, deque
 from dataclasses import dataclass
 
 from lilacfront.decisions.events import AttemptResult
@@ -34,6 +34,7 @@
         self._state = state
         self._queues: dict[int, deque[int]] = {}  # by key: numbers of its requests, as received
         self._gaps: dict[int, Gap] = {}  # by key, in the order in which the gaps end
+        self._holds: Counter[int] = Counter()  # by key: unfinished earlier requests at another process
 
     def add(self, request: PendingRequest) -> None:
         """Append a received request to the queue of its key."""
@@ -47,12 +48,27 @@
             if not self._queues[key]:
                 del self._queues[key]
 
+    def hold(self, key: int) -> None:
+        """Hold back the requests of a key that have no attempt yet; a key of 0 stands for no key.
+
+        Another process of the same front end serves an earlier request of the key.
+        """
+        if key:
+            self._holds[key] += 1
+
+    def release(self, key: int) -> None:
+        """End one hold of a key."""
+        if key:
+            self._holds[key] -= 1
+            if not self._holds[key]:
+                del self._holds[key]
+
     def is_next(self, request: PendingRequest) -> bool:
-        """Return whether the request is the first of its key and no gap after another request remains."""
+        """Return whether the request is the first of its key, without a hold or a gap after another one."""
         key, number = request.ordering_key, request.received.request
         if not key:
             return True
-        if self._queues[key][0] != number:
+        if self._queues[key][0] != number or (key in self._holds and not request.attempts):
             return False
         gap = self._gaps.get(key)
         return gap is None or gap.request == number or self._state.now_us > gap.end_us
--- a/lilacfront/decisions/router.py
+++ b/lilacfront/decisions/router.py
@@ -134,6 +134,14 @@
         self.state.now_us = max(self.state.now_us, now_us)
         return self._send_rules.may_begin(request)
 
+    def hold_key(self, ordering_key: int) -> None:
+        """Hold back new requests of a key because of an earlier one elsewhere; see `OrderedKeys.hold`."""
+        self._ordered_keys.hold(ordering_key)
+
+    def release_key(self, ordering_key: int) -> None:
+        """End one hold of a key; its requests are sent with the next step."""
+        self._ordered_keys.release(ordering_key)
+
     def _on_request(self, event: RequestReceived) -> None:
         state = self.state
         if event.request in state.requests:
--- a/lilacfront/frontends/connection_handover.py
+++ b/lilacfront/frontends/connection_handover.py
@@ -139,7 +139,11 @@
         return not self._stream.queued_bytes and partial_bytes <= MAX_PARTIAL_MESSAGE_BYTES
 
     def transfer(
-        self, frames: FrameDecoder, pending: tuple[tuple[int, bytes], ...], had_request: bool
+        self,
+        frames: FrameDecoder,
+        pending: tuple[tuple[int, bytes], ...],
+        had_request: bool,
+        ordering_keys: tuple[tuple[int, int], ...],
     ) -> bool:
         """Send the connection to the successor.
 
@@ -147,6 +151,7 @@
             frames: The decoder; the partial message in it is sent along.
             pending: Sequence number and id of each request in flight.
             had_request: Whether the connection ever had a request.
+            ordering_keys: Sequence number and ordering key of each request in flight that has a key.
 
         Returns:
             False if there is no free descriptor for the transfer now.
@@ -163,7 +168,8 @@
         if pending:
             self._destination = key
             self._registry.add(key, self._owner)
-        successor.send(ConnectionPassed(key.connection_id, partial_message, pending, had_request), descriptor)
+        passed = ConnectionPassed(key.connection_id, partial_message, pending, had_request, ordering_keys)
+        successor.send(passed, descriptor)
         return True
 
     def adopt(self, key: TransferKey) -> None:
--- a/lilacfront/frontends/platform_connection.py
+++ b/lilacfront/frontends/platform_connection.py
@@ -188,4 +188,6 @@
 
     def _transfer(self) -> bool:
         requests = self._requests
-        return requests.handover.transfer(self._frames, requests.call_ids(), requests.had_request)
+        return requests.handover.transfer(
+            self._frames, requests.call_ids(), requests.had_request, requests.ordering_keys()
+        )
--- a/lilacfront/frontends/platform_requests.py
+++ b/lilacfront/frontends/platform_requests.py
@@ -27,10 +27,12 @@
     Attributes:
         call_id: The client's id of the request.
         in_flight: The dispatcher's request; None before it is submitted or if another process serves it.
+        ordering_key: The request's ordering key; 0 if it has none.
     """
 
     call_id: bytes
     in_flight: InFlightRequest | None = None
+    ordering_key: int = 0
 
 
 class ClientRequests:
@@ -65,11 +67,17 @@
         """Return the sequence number and the id of each request in flight."""
         return tuple((seqid, request.call_id) for seqid, request in self._open.items())
 
+    def ordering_keys(self) -> tuple[tuple[int, int], ...]:
+        """Return the sequence number and the ordering key of each request in flight that has a key."""
+        return tuple(
+            (seqid, request.ordering_key) for seqid, request in self._open.items() if request.ordering_key
+        )
+
     # ---- serving ------------------------------------------------------------------------------------
     def start(self, seqid: int, request: Request) -> None:
         """Serve a new request in its own task."""
         self.had_request = True
-        self._open[seqid] = OpenRequest(request.call_id)
+        self._open[seqid] = OpenRequest(request.call_id, ordering_key=request.ordering_key)
         self._services.open_call_ids.add(request.call_id)
         self._slot.mark_busy()
         self._services.loop.spawn(self._serve, seqid, request)
@@ -91,7 +99,7 @@
         answer: FinalAnswer
         try:
             in_flight = dispatcher.submit(request, task)
-            self._open[seqid] = OpenRequest(request.call_id, in_flight)
+            self._open[seqid].in_flight = in_flight
             answer = run_request(dispatcher, in_flight, self._services.upstream, sink)
         except Exception:
             # The client gets an answer even if this program fails.
@@ -145,6 +153,7 @@
         self._services.open_call_ids.discard(request.call_id)
         if seqid in self._remote_seqids:
             self._remote_seqids.discard(seqid)
+            self._services.dispatcher.release_key(request.ordering_key)
             self.handover.cancel_at_origin(seqid)
         self._release_handover()
         if request.in_flight is not None:
@@ -183,10 +192,13 @@
         self.had_request = passed.had_request
         if passed.pending_requests:
             self.handover.adopt(key)
+        ordering_keys = dict(passed.ordering_keys)
         for seqid, call_id in passed.pending_requests:
-            self._open[seqid] = OpenRequest(call_id)
+            ordering_key = ordering_keys.get(seqid, 0)
+            self._open[seqid] = OpenRequest(call_id, ordering_key=ordering_key)
             self._remote_seqids.add(seqid)
             self._services.open_call_ids.add(call_id)
+            self._services.dispatcher.hold_key(ordering_key)
         if passed.pending_requests:
             self._slot.mark_busy()
         elif passed.had_request:
@@ -199,6 +211,7 @@
         self._remote_seqids.discard(seqid)
         request = self._open.pop(seqid)
         self._services.open_call_ids.discard(request.call_id)
+        self._services.dispatcher.release_key(request.ordering_key)
         self._send_answer(seqid, frame)
         self._release_handover()
 
--- a/lilacfront/lab/thrift_client.py
+++ b/lilacfront/lab/thrift_client.py
@@ -31,7 +31,12 @@
         self.unsent = b""
 
     def send_request(
-        self, call: int, class_name: str = "lookup", group: int = 17, byte_limit: int = 0
+        self,
+        call: int,
+        class_name: str = "lookup",
+        group: int = 17,
+        byte_limit: int = 0,
+        ordering_key: bytes = b"",
     ) -> int:
         """Send a request, or only its first bytes; returns its sequence number.
 
@@ -40,8 +45,9 @@
             class_name: Name of the request's class.
             group: Number of the table group.
             byte_limit: Number of bytes to send; 0 sends the whole request.
+            ordering_key: The request's ordering key; empty if it has none.
         """
-        data = self._next_request(call, class_name, group)
+        data = self._next_request(call, class_name, group, ordering_key)
         self.sock.sendall(data[:byte_limit] if byte_limit else data)
         self.unsent = data[byte_limit:]
         return self._seqid
@@ -61,12 +67,14 @@
         self.wait_for_reply(ping_seqid)
         return seqid
 
-    def _next_request(self, call: int, class_name: str, group: int) -> bytes:
+    def _next_request(self, call: int, class_name: str, group: int, ordering_key: bytes = b"") -> bytes:
         self._seqid += 1
         # Uses the full deadline of the class, as starting a process takes seconds on a busy machine.
         deadlines_us = {str(settings["name"]): settings["deadline"] for settings in SETTINGS["classes"]}
         time_left_ms = deadlines_us[class_name] // 1000
         fields = {b"op": class_name.encode(), b"call": b"%016x" % call, b"ttl": b"%d" % time_left_ms}
+        if ordering_key:
+            fields[b"row"] = ordering_key
         return thrift.encode_invoke(self._seqid, fields, b"select x from sales_%d.orders" % group)
 
     def ping(self) -> bool:
--- a/lilacfront/operations/transfer_messages.py
+++ b/lilacfront/operations/transfer_messages.py
@@ -22,12 +22,23 @@
         partial_message: The received part of the client's next message.
         pending_requests: Sequence number and id of each request in flight at the sender.
         had_request: Whether any request has been received on the connection.
+        ordering_keys: Sequence number and ordering key of each pending request that has a key.
     """
 
     connection_id: int
     partial_message: bytes
     pending_requests: tuple[tuple[int, bytes], ...]
     had_request: bool
+    ordering_keys: tuple[tuple[int, int], ...] = ()
+
+
+class _KeylessConnectionPassed(msgspec.Struct, frozen=True, tag="passed", array_like=True):
+    """The form of `ConnectionPassed` without ordering keys, which versions without that field write."""
+
+    connection_id: int
+    partial_message: bytes
+    pending_requests: tuple[tuple[int, bytes], ...]
+    had_request: bool
 
 
 class AnswerReady(msgspec.Struct, frozen=True, tag="answered", array_like=True):
@@ -58,6 +69,12 @@
 
 def encode_message(message: Message) -> bytes:
     """Encode a message for the wire."""
+    if isinstance(message, ConnectionPassed) and not message.ordering_keys:
+        return _ENCODER.encode(
+            _KeylessConnectionPassed(
+                message.connection_id, message.partial_message, message.pending_requests, message.had_request
+            )
+        )
     return _ENCODER.encode(message)
 
 
--- a/tests/decisions/test_ordered_keys.py
+++ b/tests/decisions/test_ordered_keys.py
@@ -48,3 +48,21 @@
         end_attempt(router, now, send, AttemptResult.CANCELLED)
     assert not router._ordered_keys._queues
     assert len(router._ordered_keys._gaps) == 1
+
+
+def test_held_key_holds_back_new_requests_and_no_retries() -> None:
+    spec = replace(SHORT, is_ordered=True)
+    router = make_router(policy_settings(spec), endpoints(3))
+    (first,) = forwards(receive_request(router, 0, 1, ordering_key=5))
+    router.hold_key(5)
+    router.hold_key(5)
+    (retry,) = forwards(end_attempt(router, 1000, first, AttemptResult.ERROR))
+    assert retry.request == 1
+    end_attempt(router, 2000, retry, AttemptResult.OK, attempt=1)
+    assert not forwards(receive_request(router, 3000, 2, ordering_key=5))
+    assert forwards(receive_request(router, 3000, 3, ordering_key=6))
+    router.release_key(5)
+    assert not forwards(router.handle(60_000, TimerFired(STEP_TIMER)))
+    router.release_key(5)
+    assert [send.request for send in forwards(router.handle(120_000, TimerFired(STEP_TIMER)))] == [2]
+    assert not router._ordered_keys._holds
--- /dev/null
+++ b/tests/operations/test_ordered_handover.py
@@ -0,0 +1,59 @@
+"""The order of keyed requests while a process replaces another one of the same front end."""
+
+from __future__ import annotations
+
+import signal
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+from lilacfront.lab.test_bed import SETTINGS, ProcessTestBed, wait_until
+from lilacfront.lab.thrift_client import ThriftClient
+
+KEY, OTHER_KEY = b"7f3a9c21e0b4d655", b"7f3a9c21e0b4d656"
+FIRST, SECOND, OTHER = 1, 2, 3
+
+
+def call_id(number: int) -> bytes:
+    """The id of a request that the client sends with this number."""
+    return b"%016x" % number
+
+
+@pytest.fixture
+def ordered_test_bed(tmp_path: Path) -> Iterator[ProcessTestBed]:
+    """A test bed whose class of loads keeps the order of each key."""
+    *others, load = SETTINGS["classes"]
+    settings = {**SETTINGS, "classes": [*others, {**load, "in-order": True}]}
+    processes = ProcessTestBed(tmp_path, settings=settings)
+    try:
+        yield processes
+    finally:
+        processes.close()
+
+
+# review/3, on a related path: both processes count as one front end, and the new one did not know the keys of
+# the requests that the old one still served.
+def test_new_process_sends_a_load_only_after_the_earlier_one_of_its_key_at_the_old_process(
+    ordered_test_bed: ProcessTestBed,
+) -> None:
+    test_bed = ordered_test_bed
+    old = test_bed.start().wait_until_ready()
+    test_bed.suspend_answers()
+    client = ThriftClient(test_bed.address)
+    first = client.send_request(FIRST, "load", ordering_key=KEY)
+    wait_until(lambda: call_id(FIRST) in test_bed.received(), "the first load at a warehouse")
+    new = test_bed.start().wait_until_ready()
+    old.wait_for_log("front end processes changed", running=2)
+    old.signal(signal.SIGTERM)
+    new.wait_for_log("client connections adopted", count=1)
+    second = client.send_request(SECOND, "load", ordering_key=KEY)
+    client.send_request(OTHER, "load", ordering_key=OTHER_KEY)
+    wait_until(lambda: call_id(OTHER) in test_bed.received(), "the load of the other key at a warehouse")
+    assert call_id(SECOND) not in test_bed.received()
+    test_bed.resume_answers()
+    assert client.is_served(first)
+    assert client.is_served(second)
+    received = test_bed.received()
+    assert received.index(call_id(FIRST)) < received.index(call_id(SECOND))
+    assert old.wait_until_ended() == 0
--- a/tests/operations/test_pinned_state.py
+++ b/tests/operations/test_pinned_state.py
@@ -73,6 +73,9 @@
         7, b"\x80\x01\x00\x01half", ((1, b"000000000000000a"), (-2, b"")), True
     ),
     "connection_passed_idle": ConnectionPassed(1, b"", (), False),
+    "connection_passed_ordered": ConnectionPassed(
+        7, b"", ((1, b"000000000000000a"),), True, ((1, 0x8F3A9C21E0B4D655),)
+    ),
     "answer_ready": AnswerReady(7, 1, b"\x80\x01\x00\x02whole"),
     "request_cancelled": RequestCancelled(7, 3),
     "connection_cancelled": RequestCancelled(7),
