An HTTP connection is not used again for the query id of its last request

Change: such a connection is closed and another one opened. Tests: clickhouse/same_query_id fails on the code before (one connection for both); clickhouse/without_query_id passes on both.

--- a/lilacfront/upstream/clickhouse.py
+++ b/lilacfront/upstream/clickhouse.py
@@ -29,8 +29,17 @@
 
 @dataclass(slots=True)
 class _IdleConnection:
+    """A connection without a request.
+
+    Attributes:
+        stream: The connection.
+        expires_at: Time at which the connection is closed, in seconds of the loop's clock.
+        query_id: Query id of the last request.
+    """
+
     stream: Stream
     expires_at: float
+    query_id: bytes
 
 
 class ClickHouseUpstream:
@@ -69,8 +78,8 @@
         context: AttemptContext,
     ) -> AttemptOutcome:
         """Make one attempt; see `core.model.Upstream`."""
-        # Without a query id a response can't be told from one to an earlier request on the same connection.
-        idle = self._pop_idle(assignment.engine) if request.query_id else None
+        # Without a query id of its own, a response can't be told from one to an earlier request.
+        idle = self._pop_idle(assignment.engine, request.query_id) if request.query_id else None
         stream = idle or self._connect(task, assignment)
         if isinstance(stream, AttemptEnding):
             return AttemptOutcome(stream, DeliveryStage.NOT_CONNECTED)
@@ -87,7 +96,7 @@
             del self._busy[stream]
         if outcome.ending is not AttemptEnding.CONNECTION_LOST and attempt.is_connection_reusable:
             assert attempt.head is not None
-            self._add_idle(stream, assignment.engine, attempt.head)
+            self._add_idle(stream, assignment.engine, attempt.head, request.query_id)
         else:
             # Closing cancels the request at the engine before any other attempt begins.
             stream.close()
@@ -126,12 +135,20 @@
         first.pop(0).stream.close()
         return True
 
-    def _pop_idle(self, engine: EngineAddress) -> Stream | None:
-        """Remove and return an idle connection that the engine has not closed."""
+    def _pop_idle(self, engine: EngineAddress, query_id: bytes) -> Stream | None:
+        """Remove and return an idle connection that the engine has not closed.
+
+        A connection whose last request had the same query id is closed: a copy of its response could not be
+        told from the next one.
+        """
         self._close_expired()
         connections = self._idle.get(engine, [])
         while connections:
-            stream = connections.pop().stream
+            connection = connections.pop()
+            stream = connection.stream
+            if connection.query_id == query_id:
+                stream.close()
+                continue
             # On a connection that the engine has closed, a write would succeed, and the request would have to
             # be treated as one that may have run.
             if stream.is_idle():
@@ -146,8 +163,8 @@
                 connections.remove(connection)
                 connection.stream.close()
 
-    def _add_idle(self, stream: Stream, engine: EngineAddress, head: http1.Head) -> None:
+    def _add_idle(self, stream: Stream, engine: EngineAddress, head: http1.Head, query_id: bytes) -> None:
         match = _TIMEOUT.search(head.get(b"keep-alive"))
         keep_alive_s = float(match[1]) if match is not None else DEFAULT_KEEP_ALIVE_S
         expires_at = self.loop.now + IDLE_TIMEOUT_FRACTION * keep_alive_s
-        self._idle.setdefault(engine, []).append(_IdleConnection(stream, expires_at))
+        self._idle.setdefault(engine, []).append(_IdleConnection(stream, expires_at, query_id))
