--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -242,6 +242,16 @@
         """Whether the process has been started and has not ended."""
         return self._process is not None and self._process.returncode is None
 
+    def memory_mb(self) -> float:
+        """Return the anonymous memory that the process holds; 0 if it has ended."""
+        assert self._process is not None
+        try:
+            status = Path(f"/proc/{self._process.pid}/status").read_text()
+        except OSError:
+            return 0.0
+        sizes = [line.split()[1] for line in status.splitlines() if line.startswith("RssAnon:")]
+        return int(sizes[0]) / 1024 if sizes else 0.0
+
     async def wait_ended(self, timeout_s: float) -> bool:
         """Wait for the end of the process; returns whether it has ended in time."""
         assert self._process is not None
