Review case 10: after a restart the list of the life before hides a drain for good

With recovery on, the events of the new start are counted from 1 again. The restored list has the higher number and passes for newer, and the change log is asked only for what comes after it. The drain that 'known' tells and the events in between are lost.

--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-import base64
 import contextlib
 import json
 import os
@@ -185,11 +184,17 @@
         self._process: asyncio.subprocess.Process | None = None
 
     async def start(
-        self, config: Path, gateway: Path | None, tmp: Path, passed: socket.socket | None = None
+        self,
+        config: Path,
+        gateway: Path | None,
+        tmp: Path,
+        passed: socket.socket | None = None,
+        recovery: Path | None = None,
     ) -> None:
         """Start the process; `passed` is the listening socket that it inherits as descriptor 3."""
         deploy = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
         command = deploy["run"] + (f" --gateway {gateway}" if gateway else "")
+        command += f" --recovery {recovery}" if recovery else ""
         environment = {
             **os.environ,
             "PROXY_NAME": "n0",
@@ -531,6 +536,14 @@
         self.port = server.sockets[0].getsockname()[1]
         return self
 
+    def begin_anew(self, entries: list[dict[str, Any]]) -> dict[str, Any]:
+        """Count from 1 again for a front end that starts; returns its `known`, with the whole list."""
+        self.entries = entries
+        self._seq = 1
+        self._events = []
+        self._record.line("change log", f"counts from 1 for a new start: {json.dumps(entries)}")
+        return known(entries)
+
     def tell(self, entries: list[dict[str, Any]]) -> None:
         """Add an event with what has changed."""
         self._seq += 1
@@ -617,111 +630,3 @@
             writer.write(f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body)
             self._record.line(self.name, f"answers {statement}")
         writer.close()
-
-
-# ---- etcd ---------------------------------------------------------------------------------------------
-class Etcd:
-    """The JSON gateway of an etcd member, for one prefix: range and watch, by the v3 API.
-
-    The `Store` is shared by the members of one cluster.
-    """
-
-    def __init__(self, case: Case, store: Store, name: str) -> None:
-        self.name = name
-        self.port = 0
-        self._silent: set[asyncio.StreamWriter] = set()
-        self._store = store
-        self._record = case.record
-        self._server: asyncio.Server | None = None
-        self._open: set[asyncio.StreamWriter] = set()
-        store.members.append(self)
-
-    async def start(self) -> Etcd:
-        """Listen, at the same port as before if there was one."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
-        self.port = self._server.sockets[0].getsockname()[1]
-        return self
-
-    def silence(self) -> None:
-        """Let all open connections fall silent; they stay open, and new ones are served."""
-        self._silent |= self._open
-        self._record.line(self.name, f"{len(self._open)} open connections fall silent")
-
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self._open.add(writer)
-        try:
-            while (request := await read_http(reader)) is not None:
-                path = request.first_line.split()[1]
-                self._record.line(self.name, f"{path} {request.body.decode()}")
-                if path == "/v3/kv/range":
-                    answer = json.dumps(self._store.range_answer()).encode()
-                    head = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n"
-                    writer.write(head % len(answer) + answer)
-                else:
-                    await self._watch(json.loads(request.body), writer)
-        except OSError:
-            pass
-        finally:
-            self._open.discard(writer)
-            writer.close()
-
-    async def _watch(self, request: dict[str, Any], writer: asyncio.StreamWriter) -> None:
-        position = int(request["create_request"]["start_revision"])
-        writer.write(
-            b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n"
-        )
-        self._line(writer, {"header": {"revision": str(self._store.revision)}, "created": True})
-        while not writer.is_closing():
-            if writer not in self._silent:
-                for revision, event in self._store.events:
-                    if revision >= position:
-                        result = {"header": {"revision": str(revision)}, "events": [event]}
-                        self._line(writer, result)
-                        position = revision + 1
-                await writer.drain()
-            await self._store.wait(0.05)
-
-    @staticmethod
-    def _line(writer: asyncio.StreamWriter, result: dict[str, Any]) -> None:
-        line = json.dumps({"result": result}).encode() + b"\n"
-        writer.write(b"%x\r\n%s\r\n" % (len(line), line))
-
-
-class Store:
-    """What the members of an etcd cluster hold."""
-
-    def __init__(self, case: Case, prefix: str = "/warehouses/") -> None:
-        self.revision = 1
-        self.events: list[tuple[int, dict[str, Any]]] = []
-        self.members: list[Etcd] = []
-        self._prefix = prefix
-        self._values: dict[str, bytes] = {}
-        self._record = case.record
-        self._changed = asyncio.Event()
-
-    def put(self, name: str, value: dict[str, Any]) -> None:
-        """Put the entry of a warehouse."""
-        self.revision += 1
-        self._values[name] = json.dumps(value).encode()
-        self._add({"kv": self._pair(name), "type": "PUT"}, name, value.get("lifecycle", ""))
-
-    def _pair(self, name: str) -> dict[str, str]:
-        key = base64.b64encode((self._prefix + name).encode()).decode()
-        value = base64.b64encode(self._values[name]).decode()
-        return {"key": key, "value": value, "mod_revision": str(self.revision)}
-
-    def _add(self, event: dict[str, Any], name: str, text: str) -> None:
-        self.events.append((self.revision, event))
-        self._record.line("etcd", f"revision {self.revision}: {event.get('type')} {name} {text}")
-        self._changed.set()
-        self._changed = asyncio.Event()
-
-    def range_answer(self) -> dict[str, Any]:
-        """Return the answer to a range request for the whole prefix."""
-        pairs = [self._pair(name) for name in self._values]
-        return {"header": {"revision": str(self.revision)}, "kvs": pairs, "count": str(len(pairs))}
-
-    async def wait(self, timeout_s: float) -> None:
-        """Wait for the next change."""
-        with contextlib.suppress(TimeoutError):
-            await asyncio.wait_for(self._changed.wait(), timeout_s)
