Queued answers survive the limit of closing connections

Cause: Listener.limit_lingering counted a connection from the call of Stream.close_gracefully on, when its answer was still queued, and closed the oldest beyond the limit (16 here) with Stream.close, which drops the queue.

Change: a connection lingers from its half-close on, after its last queued byte. Beyond the limit the oldest whose bytes are all acknowledged (TIOCOUTQ) is closed; others are kept and count as open, so the listener waits with new clients and the number of descriptors stays bounded. After the half-close the wait for the client goes on while bytes are acknowledged. This works since nobody who makes room can now reach a queue with an answer in it.

--- a/lilacfront/frontends/listener.py
+++ b/lilacfront/frontends/listener.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import itertools
 import select
 import socket
 from collections.abc import Callable, Iterator
@@ -18,12 +19,13 @@
 BACKLOG = 512
 SILENT_CONNECTION_S = 0.5  # a connection without a byte this long after connecting is evicted first
 ACCEPT_RETRY_S = 0.1  # delay of the next accept after descriptors have run out
-# A connection that is being closed keeps its descriptor until its client has closed, too. Such connections do
-# not count towards the connection limit. Their number is limited to the connection limit divided by
-# `LINGERING_DIVISOR`, but at least `MIN_MAX_LINGERING`. They use the sixth of all descriptors that remains
-# after the half for clients and the third for engines (`server.builders`).
+# A half-closed connection keeps its descriptor until its client has closed, too. Such connections do not
+# count towards the connection limit, up to the connection limit divided by `LINGERING_DIVISOR`, but at least
+# `MIN_MAX_LINGERING`. They use the sixth of all descriptors that remains after the half for clients and the
+# third for engines (`server.builders`).
 LINGERING_DIVISOR = 16
 MIN_MAX_LINGERING = 4
+LINGERING_CHECK_INTERVAL_S = 0.05  # between two checks while too many connections linger
 
 
 class SlotOwner(Protocol):
@@ -72,7 +74,8 @@
         self.has_partial_message = False
         listener.slots[self] = None
         stream.on_close = self._on_close
-        stream.on_graceful_close = self._on_end
+        stream.on_graceful_close = self._clear_idle
+        stream.on_half_close = self._on_half_close
         self.mark_idle(had_request=False)
 
     def mark_idle(self, had_request: bool) -> None:
@@ -136,11 +139,8 @@
         """Whether no bytes wait to be sent and no received bytes are unread."""
         return not self.stream.queued_bytes and self.stream.is_idle()
 
-    def _on_end(self) -> None:
-        """Handle the start of an orderly close; the slot is freed once the client has closed, too."""
-        self._clear_idle()
-        self._listener.lingering[self] = None
-        self._listener.limit_lingering()
+    def _on_half_close(self) -> None:
+        self._listener.add_lingering(self)
 
     def _on_close(self) -> None:
         self._clear_idle()
@@ -154,10 +154,11 @@
 
     Attributes:
         loop: The event loop that runs the connections.
-        max_connections: Maximum number of open connections; those being closed do not count.
+        max_connections: Maximum number of open connections; of those that are half-closed, up to
+            `max_lingering` do not count.
         max_queued_bytes: Maximum size of the answers queued for a client that does not read, in bytes.
         slots: All connections, in the order in which they were accepted.
-        lingering: Connections being closed, in the order in which their close began.
+        lingering: Half-closed connections, on which everything is sent, in the order of their half-close.
         idle_without_request: Idle connections that never had a request, the oldest first.
         idle_after_request: Idle connections that had a request, the longest idle first.
         drain: The drain of this process, if one is under way.
@@ -204,30 +205,59 @@
         self._is_watching = False
         self._is_closed = False
         self._is_accept_paused = False
+        self._is_lingering_check_due = False
         self.update_watch()
 
     @property
     def open_count(self) -> int:
-        """Number of connections that are not being closed."""
-        return len(self.slots) - len(self.lingering)
+        """Number of connections that count towards the limit.
+
+        A lingering connection beyond `max_lingering` counts: its answer may still be on its way, so new
+        clients wait for its descriptor.
+        """
+        return len(self.slots) - min(len(self.lingering), self.max_lingering)
+
+    @property
+    def max_lingering(self) -> int:
+        """Number of lingering connections above which the oldest are closed."""
+        return max(MIN_MAX_LINGERING, self.max_connections // LINGERING_DIVISOR)
 
     @property
     def _has_capacity(self) -> bool:
         has_idle = bool(self.idle_without_request or self.idle_after_request)
         return self.open_count < self.max_connections or has_idle
 
-    def limit_lingering(self) -> None:
-        """Abort the oldest lingering connections beyond the limit.
+    def add_lingering(self, slot: ClientSlot) -> None:
+        """Record that a connection is half-closed; its slot is freed once the client has closed, too."""
+        self.lingering[slot] = None
+        if not self._is_lingering_check_due:
+            self._limit_lingering()
+        elif len(self.lingering) > self.max_lingering and slot.stream.is_delivered:
+            # The last check has found no other connection to close.
+            slot.stream.close()
+        self.update_watch()
+
+    def _limit_lingering(self) -> None:
+        """Close the oldest lingering connections beyond the limit, if their clients have received everything.
 
-        Without a limit, clients that never close their side would use up the descriptors.
+        Without a limit, clients that never close their side would use up the descriptors. A connection with
+        an answer that is queued here or in the kernel is never closed to free its descriptor.
         """
-        while len(self.lingering) > max(MIN_MAX_LINGERING, self.max_connections // LINGERING_DIVISOR):
-            next(iter(self.lingering)).stream.close()
+        excess = len(self.lingering) - self.max_lingering
+        self._is_lingering_check_due = False
+        if excess <= 0:
+            return
+        delivered = (slot for slot in list(self.lingering) if slot.stream.is_delivered)
+        for slot in itertools.islice(delivered, excess):
+            slot.stream.close()
+        if len(self.lingering) > self.max_lingering:
+            self._is_lingering_check_due = True
+            self.loop.call_at(self.loop.now + LINGERING_CHECK_INTERVAL_S, self._limit_lingering)
 
     def set_max_connections(self, max_connections: int) -> None:
         """Change the limit and evict idle connections beyond it."""
         self.max_connections = max_connections
-        while self.open_count > self.max_connections and self._evict_idle():
+        while len(self.slots) - len(self.lingering) > self.max_connections and self._evict_idle():
             pass
         self.update_watch()
 
--- a/lilacfront/sched/stream.py
+++ b/lilacfront/sched/stream.py
@@ -13,8 +13,11 @@
 
 import contextlib
 import errno
+import fcntl
 import select
 import socket
+import struct
+import termios
 from collections import deque
 from collections.abc import Callable
 from enum import Enum
@@ -31,6 +34,8 @@
 LINGER_S = 0.5
 # The most chunks that one system call sends.
 MAX_GATHERED_CHUNKS = 64
+INT = struct.Struct("i")
+FIN_LENGTH = 1  # the end of the output counts as one byte
 READABLE = select.POLLIN | select.POLLHUP | select.POLLERR
 WRITABLE = select.POLLOUT | select.POLLHUP | select.POLLERR
 
@@ -56,6 +61,8 @@
         max_queued_bytes: The limit of `queued_bytes`; above it the peer is disconnected.
         closed: Whether the owner can't read or write any more.
         on_graceful_close: Called when a graceful close begins.
+        on_half_close: Called during a graceful close, when all queued bytes have been sent and the connection
+            has been half-closed.
         on_close: Called when the descriptor has been closed.
         queued_bytes: The size of the chunks in the queue. A chunk counts in full until the kernel has
             accepted all of it or it is withdrawn.
@@ -69,6 +76,7 @@
         self.max_queued_bytes = max_queued_bytes
         self.closed = False
         self.on_graceful_close: Callable[[], None] = lambda: None
+        self.on_half_close: Callable[[], None] = lambda: None
         self.on_close: Callable[[], None] = lambda: None
         self.queued_bytes = 0
         self._is_released = False
@@ -332,37 +340,95 @@
         """Close the connection after the queued bytes have been sent.
 
         This returns immediately; a new task sends the queued bytes, half-closes the connection, and waits up
-        to `within_s` seconds for the peer to close. Bytes that arrive after the half-close are read and
-        discarded. Closing a socket with unread bytes would send a TCP reset, and the peer could lose the
-        last answers.
+        to `within_s` seconds for the peer to close, or longer while sent bytes are on their way. Bytes that
+        arrive after the half-close are read and discarded. Closing a socket with unread bytes would send a
+        TCP reset, and the peer could lose the last answers.
         """
         if self.closed:
             return
         self.closed = True
         self._wake_tasks()
-        self.loop.spawn(self._linger, within_s)
         self.on_graceful_close()
+        if not self._chunks:
+            self._half_close()
+        self.loop.spawn(self._linger, within_s)
 
     def _linger(self, task: Task, within_s: float) -> None:
+        if self._chunks:
+            self._send_queue(task)
+        if not self._is_released and not self._chunks:
+            self._await_peer_close(task, within_s)
+        self.close()
+
+    def _send_queue(self, task: Task) -> None:
+        """Send the queued bytes and half-close the connection; gives up when `MAX_STALL_S` have passed."""
         self.flush()
         until = self.loop.now + MAX_STALL_S
         while not self._is_released and self.queued_bytes:
             if isinstance(self._wait_for_queue(task, until, 0), Wait):
-                break
-        if not self._is_released and not self.queued_bytes:
-            with contextlib.suppress(OSError):
-                self.sock.shutdown(socket.SHUT_WR)
-            self._discard_input(task, self.loop.now + within_s)
-        self.close()
+                return
+        self._half_close()
 
-    def _discard_input(self, task: Task, until: float) -> None:
-        """Read and discard bytes until the peer closes, the deadline passes or the byte limit is reached."""
-        bytes_left = MAX_DISCARDED_BYTES
-        while bytes_left > 0:
-            received = self._receive(task, until)
-            if isinstance(received, Wait) or received == b"":
+    def _half_close(self) -> None:
+        if self._is_released:
+            return
+        with contextlib.suppress(OSError):
+            self.sock.shutdown(socket.SHUT_WR)
+        self.on_half_close()
+
+    @property
+    def is_delivered(self) -> bool:
+        """Whether the peer's system has acknowledged all bytes of the half-closed connection.
+
+        While it is False, closing the connection may lose some of them.
+        """
+        return not self._unacknowledged_bytes()
+
+    def _unacknowledged_bytes(self) -> int:
+        """Count the bytes of a half-closed connection that the peer's system has not acknowledged."""
+        if self._is_released:
+            return 0
+        counted: int = INT.unpack(fcntl.ioctl(self.sock.fileno(), termios.TIOCOUTQ, bytes(INT.size)))[0]
+        return max(0, counted - FIN_LENGTH)
+
+    def _await_peer_close(self, task: Task, within_s: float) -> None:
+        """Discard input until the peer closes or `within_s` have passed.
+
+        While the peer's system has not acknowledged everything, the wait goes on as long as it acknowledges
+        more within `MAX_STALL_S`: closing over bytes that the peer sends meanwhile would lose the rest.
+        """
+        unacknowledged = self._unacknowledged_bytes()
+        stalled_at = self.loop.now + MAX_STALL_S
+        discarded_bytes = 0
+        while True:
+            discarded = self._discard_input(
+                task, self.loop.now + within_s, MAX_DISCARDED_BYTES - discarded_bytes
+            )
+            if discarded is None:
                 return
-            bytes_left -= len(received or b"")
+            discarded_bytes += discarded
+            still_unacknowledged = self._unacknowledged_bytes()
+            if still_unacknowledged != unacknowledged:
+                stalled_at = self.loop.now + MAX_STALL_S
+            unacknowledged = still_unacknowledged
+            if not unacknowledged or self.loop.now >= stalled_at:
+                return
+
+    def _discard_input(self, task: Task, until: float, max_bytes: int) -> int | None:
+        """Read and discard bytes until a time, in seconds.
+
+        Returns:
+            The number of bytes; None if the peer has closed or more than `max_bytes` were read.
+        """
+        discarded_bytes = 0
+        while discarded_bytes < max_bytes:
+            received = self._receive(task, until)
+            if received == b"":
+                return None
+            if isinstance(received, Wait):
+                return discarded_bytes
+            discarded_bytes += len(received or b"")
+        return None
 
     def _wake_tasks(self) -> None:
         if self._reader is not None:
