Final answers queued for slow readers are not dropped to save memory

What callers saw: with more unread answers than an eighth of the memory the slow reader with the longest queue was disconnected, with complete answers in the queue, so its requests were lost.

Cause: Loop.add_queued_bytes closed the longest queue whatever it held.

Change: the chunk that completes a final answer is marked (Chunk.is_final); a stream that holds one is not closed to save memory. The bound moves to where answers are made: Stream.has_answer_capacity lets a client that keeps up have its next answer, and gives one that lags behind a short failure once its own or the common limit is reached. Streamed results and requests to warehouses are given up as before: both sides can tell that they are not whole.

--- a/lilacfront/frontends/clickhouse_connection.py
+++ b/lilacfront/frontends/clickhouse_connection.py
@@ -62,7 +62,9 @@
                 pass
         except http1.HttpError as error:
             text = str(error).encode()
-            self._stream.write(encode_error(error.status, ErrorCode.BAD_ARGUMENTS, text, keep_alive=False))
+            self._stream.write(
+                encode_error(error.status, ErrorCode.BAD_ARGUMENTS, text, keep_alive=False), is_final=True
+            )
         finally:
             self._reader.release_body()
             self._stream.close_gracefully(FINISH_TIMEOUT_S)
@@ -89,7 +91,9 @@
         try:
             request = parse_request(http_request, self._services, self._stream.is_open_by_poll)
         except InvalidQueryError as error:
-            self._stream.write(encode_error(error.status, error.code, error.text, keep_alive, method))
+            self._stream.write(
+                encode_error(error.status, error.code, error.text, keep_alive, method), is_final=True
+            )
             # The delay keeps a client that repeats invalid requests without a pause from starving others.
             self._backoff_s = min(MAX_BACKOFF_S, max(MIN_BACKOFF_S, 2 * self._backoff_s))
             self._loop.sleep(task, self._loop.now + self._backoff_s)
@@ -105,9 +109,9 @@
 
     def _answer_ping(self, method: bytes, keep_alive: bool) -> None:
         if self._services.health.is_healthy():
-            self._stream.write(encode_text(200, b"Ok.\n", [], keep_alive, method))
+            self._stream.write(encode_text(200, b"Ok.\n", [], keep_alive, method), is_final=True)
         else:
-            self._stream.write(encode_text(503, b"Leaving.\n", [], keep_alive, method))
+            self._stream.write(encode_text(503, b"Leaving.\n", [], keep_alive, method), is_final=True)
 
     def _watch_client(self, task: Task, in_flight: InFlightRequest) -> None:
         """Until the request is answered, read pipelined bytes and cancel it if the client disconnects."""
@@ -153,7 +157,7 @@
 
     def _send_final_answer(self, answer: FinalAnswer, result: StreamedResult) -> None:
         match answer:
-            case Completed() | StatementFailed():
+            case Completed() | StatementFailed() if result.can_finish:
                 result.finish()
             case Cancelled():
                 self._stream.close()
@@ -161,6 +165,9 @@
                 # The missing last chunk tells the client that the result is incomplete.
                 self._stream.close_gracefully()
             case Rejected():
-                self._stream.write(encode_rejection(answer, result.keep_alive))
+                self._stream.write(encode_rejection(answer, result.keep_alive), is_final=True)
             case Failed():
-                self._stream.write(encode_failure(answer, result.keep_alive))
+                self._stream.write(encode_failure(answer, result.keep_alive), is_final=True)
+            case Completed() | StatementFailed():
+                log.warning("answer exceeds memory limit")
+                self._stream.write(encode_failure(Failed(), result.keep_alive), is_final=True)
--- a/lilacfront/frontends/clickhouse_result.py
+++ b/lilacfront/frontends/clickhouse_result.py
@@ -59,13 +59,18 @@
         """Return True: HTTP clients choose the format of their results."""
         return True
 
+    @property
+    def can_finish(self) -> bool:
+        """Whether the rest of a complete result may be queued for the client."""
+        return self.has_started or self._stream.has_answer_capacity(len(self._buffer))
+
     def finish(self) -> None:
         """Write the rest of a complete result."""
         if self.has_started:
-            self._stream.write(http1.LAST_CHUNK)
+            self._stream.write(http1.LAST_CHUNK, is_final=True)
         else:
             length = (b"Content-Length", b"%d" % len(self._buffer))
-            self._stream.write(self._encode_head(length) + bytes(self._buffer))
+            self._stream.write(self._encode_head(length) + bytes(self._buffer), is_final=True)
 
     def _start_streaming(self) -> None:
         assert self.in_flight is not None
--- a/lilacfront/frontends/platform_requests.py
+++ b/lilacfront/frontends/platform_requests.py
@@ -136,7 +136,10 @@
     def _send_answer(self, seqid: int, frame: bytes) -> None:
         """Write an answer, or forward it to the process that has the connection."""
         if not self.handover.is_transferred:
-            self._stream.write(frame)
+            if not self._stream.has_answer_capacity(len(frame)):
+                log.warning("answer exceeds memory limit", bytes=len(frame))
+                frame = thrift.encode_fault(seqid, {})
+            self._stream.write(frame, is_final=True)
             self.update_idle()
         elif self.handover.forward_answer(seqid, frame):
             self._release_handover()
@@ -184,7 +187,9 @@
 
     def write_rejection(self, seqid: int, retry_after_s: float) -> None:
         """Write the rejection of a request that was never in flight."""
-        self._stream.write(thrift.encode_shed(seqid, {b"pushback": b"%d" % (1000 * retry_after_s)}))
+        self._stream.write(
+            thrift.encode_shed(seqid, {b"pushback": b"%d" % (1000 * retry_after_s)}), is_final=True
+        )
 
     # ---- requests of a transferred connection -------------------------------------------------------
     def adopt(self, key: TransferKey, passed: ConnectionPassed) -> None:
--- a/lilacfront/sched/chunk.py
+++ b/lilacfront/sched/chunk.py
@@ -16,12 +16,14 @@
         sent: The number of bytes that the kernel has accepted.
         withdrawn: Whether the chunk has been withdrawn. If so, none of its bytes has been or will be sent.
         permit: Returns whether the first byte may be sent now; None if no permit is needed.
+        is_final: Whether the chunk completes a final answer, which must not be dropped to save memory.
     """
 
-    __slots__ = ("data", "permit", "sent", "withdrawn")
+    __slots__ = ("data", "is_final", "permit", "sent", "withdrawn")
 
-    def __init__(self, data: bytes, permit: Callable[[], bool] | None = None) -> None:
+    def __init__(self, data: bytes, permit: Callable[[], bool] | None = None, is_final: bool = False) -> None:
         self.data = data
+        self.is_final = is_final
         self.sent = 0
         self.withdrawn = False
         self.permit = permit
--- a/lilacfront/sched/loop.py
+++ b/lilacfront/sched/loop.py
@@ -104,6 +104,10 @@
 
     queued_bytes: int
 
+    @property
+    def holds_final_answer(self) -> bool:
+        """Whether a final answer is queued that is not sent in full."""
+
     def close(self) -> None:
         """Close the connection immediately."""
 
@@ -121,7 +125,7 @@
         unflushed_streams: The streams that wait until the kernel accepts more of their queued bytes.
         queued_bytes: The number of bytes that are queued on all streams together.
         max_queued_bytes: The limit of `queued_bytes`. Above it, the unflushed stream with the longest queue
-            is closed.
+            and without a final answer is closed.
         stopping: Whether the loop ends after this turn.
         wakeup_socket: A byte that any thread writes to this socket wakes the loop.
     """
@@ -234,13 +238,17 @@
     def add_queued_bytes(self, size: int) -> None:
         """Add to the count of queued bytes; `size` is negative when bytes have left the queue of a stream.
 
-        Above the limit, the unflushed stream with the longest queue is closed.
+        Above the limit, the unflushed stream with the longest queue and without a final answer is closed.
         """
         self.queued_bytes += size
-        if size > 0 and self.queued_bytes > self.max_queued_bytes and self.unflushed_streams:
-            # Otherwise many peers that do not read could use up the memory, although each of them stays
-            # within the limit of its own stream.
-            max(self.unflushed_streams, key=lambda stream: stream.queued_bytes).close()
+        if size <= 0 or self.queued_bytes <= self.max_queued_bytes:
+            return
+        # Otherwise many peers that do not read could use up the memory, although each of them stays within
+        # the limit of its own stream. The final answers are limited where they are made
+        # (`Stream.has_answer_capacity`).
+        droppable = [stream for stream in self.unflushed_streams if not stream.holds_final_answer]
+        if droppable:
+            max(droppable, key=lambda stream: stream.queued_bytes).close()
 
     def stop(self) -> None:
         """Let `run` return after this turn."""
--- a/lilacfront/sched/stream.py
+++ b/lilacfront/sched/stream.py
@@ -32,6 +32,8 @@
 MAX_DISCARDED_BYTES = 1 << 20
 # How long a half-closed connection waits by default for its peer to close.
 LINGER_S = 0.5
+# The part of a stream's queue limit that only short answers may use.
+RESERVED_ANSWER_BYTES = 1 << 18
 # The most chunks that one system call sends.
 MAX_GATHERED_CHUNKS = 64
 INT = struct.Struct("i")
@@ -79,6 +81,7 @@
         self.on_half_close: Callable[[], None] = lambda: None
         self.on_close: Callable[[], None] = lambda: None
         self.queued_bytes = 0
+        self._final_chunks = 0
         self._is_released = False
         self._chunks: deque[Chunk] = deque()
         self._reader: Task | None = None
@@ -238,19 +241,45 @@
             pass
         return False  # closed, by either side, or with an unread byte
 
-    def write(self, data: bytes, permit: Callable[[], bool] | None = None) -> Chunk:
+    @property
+    def holds_final_answer(self) -> bool:
+        """Whether a final answer is queued that is not sent in full."""
+        return self._final_chunks > 0
+
+    def has_answer_capacity(self, size: int) -> bool:
+        """Whether a final answer of this many bytes may be queued.
+
+        A peer that keeps up with its answers may always be sent another one. To others, long answers are sent
+        only within the limits; a part of the stream's own limit is kept for the short answers in their place.
+        """
+        if not self._awaits_writable:
+            return True
+        stream_limit = self.max_queued_bytes - RESERVED_ANSWER_BYTES
+        return (
+            self.queued_bytes + size <= stream_limit
+            and self.loop.queued_bytes + size <= self.loop.max_queued_bytes
+        )
+
+    def write(self, data: bytes, permit: Callable[[], bool] | None = None, is_final: bool = False) -> Chunk:
         """Queue bytes, to be sent at the end of this turn if there is no `permit` or it returns True then.
 
         If more than `max_queued_bytes` are queued after this write, the peer is disconnected, so that a peer
         that does not read can't use up the memory of this process. On a closed stream nothing is queued, and
         the returned chunk is never sent.
+
+        Args:
+            data: The bytes.
+            permit: See `Chunk`.
+            is_final: Whether the bytes complete a final answer. While such bytes are queued, the stream is
+                not closed to save memory; see `has_answer_capacity`.
         """
-        chunk = Chunk(data, permit)
+        chunk = Chunk(data, permit, is_final)
         if self.closed:
             return chunk
         if not self._chunks:
             self._progress_at = self.loop.now
         self._chunks.append(chunk)
+        self._final_chunks += is_final
         self.queued_bytes += len(data)
         self.loop.add_queued_bytes(len(data))
         if self.queued_bytes > self.max_queued_bytes:
@@ -324,7 +353,9 @@
     def _remove_finished_chunks(self) -> None:
         """Remove fully sent and withdrawn chunks from the head of the queue."""
         while self._chunks and (self._chunks[0].withdrawn or self._chunks[0].is_fully_sent):
-            size = len(self._chunks.popleft().data)
+            chunk = self._chunks.popleft()
+            size = len(chunk.data)
+            self._final_chunks -= chunk.is_final
             self.queued_bytes -= size
             self.loop.add_queued_bytes(-size)
 
@@ -447,6 +478,7 @@
         self.loop.unflushed_streams.discard(self)
         self.loop.add_queued_bytes(-self.queued_bytes)
         self.queued_bytes = 0
+        self._final_chunks = 0
         self.sock.close()
         self._wake_tasks()
         self.on_close()
--- /dev/null
+++ b/tests/crossings/test_slow_readers.py
@@ -0,0 +1,86 @@
+"""Clients that read slowly, with more final answers queued for them than the memory allows."""
+
+from __future__ import annotations
+
+import re
+import socket
+from collections.abc import Callable
+
+import pytest
+from crossing_harness import PATHS, STATEMENT, WAREHOUSES, pause_reading, resume_reading, running_harness
+from play import SETTINGS, Actor, Dialect, Harness, Http
+from play.thrift_resp import encode_resp
+
+from lilacfront.protocols import thrift
+
+LIMITS = {"cores": 1.0, "memory_mb": 1, "sockets": 256}
+MAX_QUEUED_BYTES = (1 << 20) // 8
+CAPACITY = {"extra": {**SETTINGS["extra"], "cpu-of-kind": [1000]}}
+READERS = [f"R{number}" for number in range(8)]
+REQUEST_COUNT = 8  # of each client
+ROWS = ("x" * 100,) * 400
+ROW_OF_A_PAGE = b"\t".join([b"x" * 1800] * 3) + b"\n"  # a page holds up to 6,000 bytes
+BUFFER_BYTES = 4096
+
+
+def long_answers(dialect: Dialect) -> Callable[[bytes], bytes]:
+    """A warehouse's function that answers each request with as many rows as fit one part of an answer."""
+    if isinstance(dialect, Http):
+        return lambda data: b"".join(
+            dialect.serves(tag.decode(), *ROWS) for tag in re.findall(rb"query_id=(\w+)", data)
+        )
+    return lambda data: b"".join(
+        encode_resp(call_id, b"HIT", b"pages=1", ROW_OF_A_PAGE)
+        for call_id in re.findall(rb"\$2\r\ndo\r\n\$16\r\n(.{16})\r\n", data)
+    )
+
+
+def encode_request(dialect: Dialect, client: int, request: int) -> bytes:
+    """Encode a lookup whose id no other request has."""
+    if isinstance(dialect, Http):
+        return dialect.ask(f"c{client}r{request}", "lookup", "4000", *STATEMENT.split())
+    fields = {b"op": b"lookup", b"call": b"%08x%08x" % (client, request), b"ttl": b"4000"}
+    return thrift.encode_invoke(request + 1, fields, STATEMENT.encode())
+
+
+def connect_reader(harness: Harness, name: str) -> Actor:
+    """Connect a client with small buffers on both sides."""
+    connection = socket.socket()
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER_BYTES)
+    listener = harness.server.listeners[harness.dialect.listener_index]
+    connection.connect(listener.address)
+    harness.turn()
+    slot = list(listener.slots)[-1]
+    slot.stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, BUFFER_BYTES)
+    harness.actors[name] = Actor(False)
+    harness.actors[name].use_connection(connection)
+    return harness.actors[name]
+
+
+def answer_count(harness: Harness, reader: Actor) -> int:
+    return reader.received.count(b"HTTP/1.1 " if isinstance(harness.dialect, Http) else b"\x06invoke")
+
+
+@pytest.mark.parametrize("path", PATHS)
+def test_final_answers_of_slow_readers_are_not_dropped_for_memory(path: Callable[[], Dialect]) -> None:
+    """Guards against a connection with queued answers that is closed as others use up the memory.
+
+    What no longer fits is answered by a short failure.
+    """
+    with running_harness(path, limits=LIMITS, settings=CAPACITY) as harness:
+        for name in WAREHOUSES:
+            harness.actors[name].answer = long_answers(harness.dialect)
+        readers = [connect_reader(harness, name) for name in READERS]
+        unread = pause_reading(readers)
+        for request in range(REQUEST_COUNT):
+            for number, connection in enumerate(unread):
+                connection.sendall(encode_request(harness.dialect, number, request))
+            harness.wait(0.05)
+        queued_bytes = harness.server.loop.queued_bytes
+        resume_reading(readers, unread)
+        harness.until(
+            lambda: all(answer_count(harness, reader) == REQUEST_COUNT for reader in readers),
+            f"all answers, got {[answer_count(harness, reader) for reader in readers]}",
+        )
+        assert not any(reader.eof or reader.was_reset for reader in readers)
+        assert MAX_QUEUED_BYTES < queued_bytes < 5 * MAX_QUEUED_BYTES
--- a/tests/sched/test_stream.py
+++ b/tests/sched/test_stream.py
@@ -74,6 +74,32 @@
     assert loop.queued_bytes == 0
 
 
+def test_stream_with_a_final_answer_is_not_closed_above_the_queue_limit_of_the_loop(
+    manual_loop: ManualLoop,
+) -> None:
+    """Guards against final answers that are dropped to save memory."""
+    loop = manual_loop.loop
+    loop.max_queued_bytes = 6 << 20
+    pairs = [manual_loop.connected_stream(8 << 20) for _ in range(3)]
+    for stream, _ in pairs:
+        stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+    answered, streaming, last = [stream for stream, _ in pairs]
+    answered.write(bytes(4 << 20), is_final=True)
+    loop.turn(0)
+    assert not answered.has_answer_capacity(3 << 20)
+    assert last.has_answer_capacity(3 << 20), "a peer that keeps up may be sent another answer"
+    streaming.write(bytes(1 << 20))
+    loop.turn(0)
+    last.write(bytes(3 << 20), is_final=True)
+    loop.turn(0)
+    assert streaming.closed
+    assert not answered.closed
+    assert not last.closed
+    for stream, _ in pairs:
+        stream.close()
+    assert loop.queued_bytes == 0
+
+
 def test_graceful_close_discards_a_limited_number_of_bytes(manual_loop: ManualLoop) -> None:
     stream, peer = manual_loop.connected_stream(1000)
     peer.setblocking(False)
