Late change log and etcd are heard: silent connections are hedged, not closed

Cause: ChangeLog took 1.8 s without a line for a dead connection and closed it with the answer on its way; the next one had 1.8 s from its connect on, too. Same cause: connects given up after 0.5 s (log) and 1 s (etcd), a list from etcd after 5 s, and the other way round an etcd watch that has died, noticed after up to 10 s.

Change: silence does not tell late from dead, so nobody decides. discovery/hedged_source.py keeps a silent connection, opens another one beside it (up to four, each given up after 15 s), and the first with a complete message replaces the rest. 15 s is twice the 7 s after which a change counts as told; 3 s for etcd leaves 1 s of the 4 s after which a stop does.

Tests changed, as strict: the exchanges changelog, changelog_drip, drip and compacted expected the close of a silent connection and a new list after a break. They now expect the second connection at the same time as before (etcd: 3 s instead of 10 s), the end of the silent one once there is an answer (new verb !only), and the watch from the last revision. fail_connects_until_watched counted connects that were given up; they are kept now, so it lets the first ones never complete.

--- a/lilacfront/discovery/change_log.py
+++ b/lilacfront/discovery/change_log.py
@@ -1,7 +1,8 @@
 """Client of the change log, which sends numbered events over one TCP connection.
 
 The client sends `since N`. The log then sends one JSON line for each event after N, and about once a second a
-line with only its latest sequence number. The client reconnects whenever the connection ends.
+line with only its latest sequence number. The client reconnects whenever the connection ends. While the log
+is silent, it asks on another connection as well.
 """
 
 from __future__ import annotations
@@ -13,12 +14,13 @@
 import msgspec
 
 from lilacfront.discovery.endpoint_list import EndpointUpdate, RawEndpointUpdate, decode_lenient
+from lilacfront.discovery.hedged_source import HedgedSource, HedgingLimits, SourceConnection
 from lilacfront.logs import Log
 from lilacfront.sched import Loop, Stream, Task, Wait
 
 log = Log(__name__)
-CONNECT_TIMEOUT_S = 0.5
-SILENCE_TIMEOUT_S = 1.8  # the log sends a whole line every second
+# The log sends a whole line every second. Events may arrive up to 7 s late.
+HEDGING_LIMITS = HedgingLimits(connect_s=0.5, silence_s=1.8, abandon_s=15.0, max_connections=4)
 # Longest delay; the delay is drawn from half of it up to all of it so that the front ends of a fleet don't
 # reconnect in step. It doesn't increase exponentially: after an outage the log may report drains that must be
 # obeyed 0.5 s later.
@@ -92,7 +94,7 @@
         self.on_renumbered: Callable[[], None] | None = None
         self._on_update = on_update
         self._random = random.Random(seed)
-        self._task: Task | None = None
+        self._source = HedgedSource(loop, HEDGING_LIMITS, self._connect_and_follow, self._reconnect_delay_s)
         self._behind_since = math.inf
         loop.call_at(loop.now + UNREACHABLE_TIMEOUT_S, self._expire_catch_up)
 
@@ -101,30 +103,25 @@
         if address == self.address:
             return
         self.address = address
-        if self._task is not None:
-            self._task.interrupt()
+        self._source.reconnect()
 
     def run(self, task: Task) -> None:
         """Follow the log for as long as the process runs."""
-        self._task = task
-        while True:
-            if task.interrupted:
-                task.clear_interruption()
-            self._connect_and_follow(task)
-            if not task.interrupted:
-                delay_s = RECONNECT_DELAY_S * self._random.uniform(0.5, 1.0)
-                self.loop.sleep(task, self.loop.now + delay_s)
+        self._source.run(task)
+
+    def _reconnect_delay_s(self) -> float:
+        return RECONNECT_DELAY_S * self._random.uniform(0.5, 1.0)
 
     def _expire_catch_up(self) -> None:
         self.is_caught_up = True
 
-    def _connect_and_follow(self, task: Task) -> None:
-        deadline = self.loop.now + CONNECT_TIMEOUT_S
-        stream = Stream.connect(self.loop, task, self.address, deadline, MAX_QUEUED_BYTES)
+    def _connect_and_follow(self, task: Task, connection: SourceConnection) -> None:
+        stream = Stream.connect(self.loop, task, self.address, connection.abandon_at, MAX_QUEUED_BYTES)
         if not isinstance(stream, Stream):
             return
+        connection.mark_established(self.loop.now)
         try:
-            self._follow(task, stream)
+            self._follow(task, stream, connection)
         except (msgspec.MsgspecError, UnicodeDecodeError) as error:
             log.warning("change log undecodable", error=error)
         except Exception:
@@ -132,33 +129,32 @@
         finally:
             stream.close()
 
-    def _follow(self, task: Task, stream: Stream) -> None:
-        """Process lines until the connection ends, times out, or a new `since` request is necessary.
+    def _follow(self, task: Task, stream: Stream, connection: SourceConnection) -> None:
+        """Process lines until the connection ends, is given up, or a new `since` request is necessary.
 
-        Only a complete line restarts the silence timeout. Otherwise a log that stalls within a line, or sends
+        Only a complete line shows that the log is alive. Otherwise a log that stalls within a line, or sends
         a line byte by byte, would be followed forever.
         """
         stream.write(b"since %d\n" % self.sequence)
         partial_line = b""
-        silence_deadline = self.loop.now + SILENCE_TIMEOUT_S
         catch_up_deadline = self.loop.now + CATCH_UP_TIMEOUT_S
         while True:
-            deadline = silence_deadline if self.is_caught_up else min(silence_deadline, catch_up_deadline)
-            received = stream.read(task, deadline)
+            deadline = connection.abandon_at
+            received = stream.read(task, deadline if self.is_caught_up else min(deadline, catch_up_deadline))
             if received is Wait.TIMED_OUT and not self.is_caught_up:
                 self.is_caught_up = True
                 continue
-            if not isinstance(received, bytes) or not received:
+            if not isinstance(received, bytes) or not received or task.interrupted:
                 return
             *lines, partial_line = (partial_line + received).split(b"\n")
             lines = [line.strip() for line in lines if line.strip()]
-            if lines:
-                silence_deadline = self.loop.now + SILENCE_TIMEOUT_S
             if len(partial_line) > MAX_LINE_BYTES:
                 log.warning("change log line too long", max_bytes=MAX_LINE_BYTES)
                 return
             if not all(self._process_line(line) for line in lines):
                 return
+            if lines:
+                connection.mark_heard(self.loop.now)
 
     def _process_line(self, line: bytes) -> bool:
         """Process an event or the log's sequence number; returns False if events must be requested again."""
--- a/tests/play/__init__.py
+++ b/tests/play/__init__.py
@@ -8,6 +8,7 @@
 - `<`: the next bytes that the actor receives must be exactly those of the rest.
 - `!close`, `!reset`: the actor closes its connection, or resets it.
 - `!eof`: the front end must end the connection without sending more.
+- `!only`: the front end must end all connections of the actor but the current one.
 - `!nothing`: the actor must not have received anything more.
 - `!refuse`: the actor refuses connections from now on.
 - `!full`: the actor's accept queue is full from now on, so that connects don't complete.
--- a/tests/play/actors.py
+++ b/tests/play/actors.py
@@ -84,6 +84,18 @@
         if self.answer is not None and data:
             connection.sendall(self.answer(data))
 
+    def has_one_open_connection(self) -> bool:
+        """Whether the front end has ended all connections but the current one; reads from the others."""
+        for other in self.other_sockets:
+            try:
+                if other.recv(RECEIVE_BYTES):
+                    return False
+            except BlockingIOError:
+                return False
+            except OSError:
+                continue
+        return not self.eof
+
     def use_connection(self, connection: socket.socket) -> None:
         """Make a connection the current one."""
         connection.setblocking(False)
