The rest of a last answer is cut only after 5 s without progress

What callers saw: a steady but slow reader lost the rest of its last answer 5 s after the close had begun.

Cause: Stream._linger bounded the sending of the queue by 5 s in all. The README's limit is 5 s without progress, which open connections have.

Change: the wait counts from the last progress. The stall check of the queue stays as it was, so a reader that stops is still disconnected after 5 s.

--- a/lilacfront/sched/stream.py
+++ b/lilacfront/sched/stream.py
@@ -392,12 +392,13 @@
         self.close()
 
     def _send_queue(self, task: Task) -> None:
-        """Send the queued bytes and half-close the connection; gives up when `MAX_STALL_S` have passed."""
+        """Send the queued bytes and half-close; gives up after `MAX_STALL_S` without progress."""
         self.flush()
-        until = self.loop.now + MAX_STALL_S
         while not self._is_released and self.queued_bytes:
-            if isinstance(self._wait_for_queue(task, until, 0), Wait):
+            stalled_at = self._progress_at + MAX_STALL_S
+            if self.loop.now >= stalled_at:
                 return
+            self._wait_for_queue(task, stalled_at, 0)
         self._half_close()
 
     def _half_close(self) -> None:
--- a/tests/sched/test_stream.py
+++ b/tests/sched/test_stream.py
@@ -100,6 +100,26 @@
     assert loop.queued_bytes == 0
 
 
+def test_slow_reader_receives_its_whole_answer_after_a_graceful_close(manual_loop: ManualLoop) -> None:
+    """Guards against the loss of the rest of an answer that takes longer than the stall timeout to read."""
+    stream, peer = manual_loop.connected_stream(1 << 20)
+    stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+    peer.setblocking(False)
+    size = 800_000
+    stream.write(bytes(size))
+    stream.close_gracefully()
+    received = 0
+    for second in range(1, 11):
+        manual_loop.run_for(1)
+        while received < second * size // 10:
+            manual_loop.loop.turn(0.01)  # the kernel's timers don't follow the clock of the test
+            with contextlib.suppress(BlockingIOError):
+                part = len(peer.recv(20_000))
+                assert part, f"the connection has ended after {received} of {size} bytes"
+                received += part
+    peer.close()
+
+
 def test_graceful_close_discards_a_limited_number_of_bytes(manual_loop: ManualLoop) -> None:
     stream, peer = manual_loop.connected_stream(1000)
     peer.setblocking(False)
