Requests in flight are answered though their client's next message is dropped

What callers saw: when the incomplete messages of all clients passed a sixteenth of the memory, the client with the largest got no answer to its other requests.

Cause: PartialMessageBudget closed the connection with Stream.close, which drops the queue and cancels what is in flight.

Change: the budget asks the connection to discard what is incomplete; the bytes are free at once, and the connection ends like one with an unreadable message: 0.7 s for its requests, then their answers, then a graceful close.

--- a/lilacfront/frontends/clickhouse_connection.py
+++ b/lilacfront/frontends/clickhouse_connection.py
@@ -54,6 +54,9 @@
     def request_transfer(self) -> None:
         """Do nothing: connections of this protocol are not transferred."""
 
+    def discard_partial_message(self) -> None:
+        """Do nothing: bodies have a budget of their own."""
+
     # ---- serving ------------------------------------------------------------------------------------
     def run(self, task: Task) -> None:
         """Read and answer requests until the connection ends."""
--- a/lilacfront/frontends/listener.py
+++ b/lilacfront/frontends/listener.py
@@ -37,6 +37,9 @@
     def request_transfer(self) -> None:
         """Transfer the connection to another process, if that is possible now."""
 
+    def discard_partial_message(self) -> None:
+        """Free the received bytes that are not handled yet, and close the connection after its answers."""
+
 
 class ClientSlot:
     """The listener's record of one client connection.
--- a/lilacfront/frontends/partial_messages.py
+++ b/lilacfront/frontends/partial_messages.py
@@ -13,7 +13,8 @@
     """Counts the received bytes of messages that are incomplete or not yet handled.
 
     Attributes:
-        max_bytes: Limit for all connections together; beyond it the connection with the most bytes is closed.
+        max_bytes: Limit for all connections together; beyond it the connection with the most bytes discards
+            them and is closed after the answers to its requests.
     """
 
     def __init__(self, memory_bytes: int) -> None:
@@ -30,7 +31,7 @@
         return self._bytes_by_slot.get(slot, 0)
 
     def account(self, slot: ClientSlot, size: int) -> None:
-        """Set the bytes of a connection; beyond the limit, close the connection with the most bytes."""
+        """Set the bytes of a connection; beyond the limit, the one with the most bytes discards them."""
         self._total_bytes += size - self._bytes_by_slot.pop(slot, 0)
         slot.has_partial_message = size > 0
         if not size:
@@ -39,4 +40,5 @@
         if self._total_bytes > self.max_bytes:
             largest = max(self._bytes_by_slot, key=lambda slot: self._bytes_by_slot[slot])
             log.warning("partial messages exceed memory limit", bytes=self._total_bytes)
-            largest.stream.close()
+            assert largest.owner is not None
+            largest.owner.discard_partial_message()
--- a/lilacfront/frontends/platform_connection.py
+++ b/lilacfront/frontends/platform_connection.py
@@ -40,6 +40,7 @@
         self._deferred = DeferredMessages(services.loop)
         self._requests = ClientRequests(services, slot, self._deferred)
         self._messages = MessageHandler(services, slot, self._requests, self._deferred)
+        self._exceeds_memory_limit = False  # its incomplete message was discarded
         self._has_client_closed = False  # the client has closed, so no orderly close is needed
         self._read_deadline = 0.0
         self._transferable_task: Task | None = None  # the reading task, while a transfer may interrupt it
@@ -61,6 +62,18 @@
         if self._transferable_task is not None and self._can_transfer():
             self._transferable_task.interrupt()
 
+    def discard_partial_message(self) -> None:
+        """Free the received bytes that are not handled yet.
+
+        The connection is then closed like one with an unreadable message, after the answers to its requests.
+        """
+        self._exceeds_memory_limit = True
+        self._frames.pop_incomplete()
+        self._requests.reject_deferred()
+        self._account_partial(0)
+        if self._transferable_task is not None:
+            self._transferable_task.interrupt()
+
     # ---- reading ------------------------------------------------------------------------------------
     def run(self, task: Task) -> None:
         """Read and handle messages until the connection ends."""
@@ -81,17 +94,17 @@
 
     def _read_messages(self, task: Task) -> None:
         while not self._stream.closed:
+            if self._exceeds_memory_limit:
+                raise thrift.ThriftError("incomplete messages exceed the memory limit")
             if self._can_transfer() and self._transfer():
                 return
-            if self._deferred.can_resume:
-                self._messages.handle_deferred()
-                self._account_partial(self._frames.buffered_bytes)
+            self._resume_deferred()
             data = self._stream.read(
                 task, self._deferred.resume_at if self._deferred else self._read_deadline
             )
             if task.interrupted:
                 task.clear_interruption()
-                if not isinstance(data, bytes):
+                if self._exceeds_memory_limit or not isinstance(data, bytes):
                     continue
             if data is Wait.TIMED_OUT and self._deferred:
                 continue
@@ -104,6 +117,11 @@
             elif self._is_idle_at_timeout():
                 return
 
+    def _resume_deferred(self) -> None:
+        if self._deferred.can_resume:
+            self._messages.handle_deferred()
+            self._account_partial(self._frames.buffered_bytes)
+
     def _is_idle_at_timeout(self) -> bool:
         """Handle a read timeout; return whether the connection is idle and has to be closed.
 
