Several changes of one warehouse in one message are applied in order

What callers saw: after 'draining, ready' or 'gone, ready' of one warehouse in one event or etcd response, a request sent to it failed with a KeyError in the log; after the second an operator's SUSPEND failed, too.

Cause: the router applied the entries in order and took the warehouse for ready, ReadyEngines.update removed whatever any entry had withdrawn, and EndpointRegistry forgot the address of one that was gone in any entry.

--- a/lilacfront/discovery/endpoint_list.py
+++ b/lilacfront/discovery/endpoint_list.py
@@ -73,6 +73,25 @@
     return EndpointUpdate(update.generation, update.is_snapshot, records)
 
 
+def split_repeats(update: EndpointUpdate) -> list[EndpointUpdate]:
+    """Split an update into ones that name each engine once, to be applied in order.
+
+    Several changes of an engine are applied one after the other, as if each had arrived on its own. Of
+    several entries in a whole list the last one holds.
+    """
+    if update.is_snapshot:
+        last_records = {record.instance_id: record for record in update.endpoints}
+        if len(last_records) < len(update.endpoints):
+            log.warning("endpoint entry repeated", entries=len(update.endpoints) - len(last_records))
+        return [EndpointUpdate(update.generation, True, list(last_records.values()))]
+    parts: list[dict[str, EndpointRecord]] = [{}]
+    for record in update.endpoints:
+        if record.instance_id in parts[-1]:
+            parts.append({})
+        parts[-1][record.instance_id] = record
+    return [EndpointUpdate(update.generation, False, list(part.values())) for part in parts]
+
+
 class EndpointListError(LilacfrontError, ValueError):
     """An invalid endpoint entry or address; the message says what is wrong."""
 
@@ -116,7 +135,8 @@
     def apply(self, update: EndpointUpdate) -> tuple[EndpointList, Mapping[int, tuple[str, int]]]:
         """Return the event for the routing decisions, and the addresses of all engines known at that point.
 
-        The addresses still include the engines that the event removes.
+        The update names each engine once; see `split_repeats`. The addresses still include the engines that
+        the event removes.
         """
         endpoints = self._usable_endpoints(update)
         scope = ListScope.SNAPSHOT if update.is_snapshot else ListScope.DELTA
@@ -126,18 +146,12 @@
 
     def _usable_endpoints(self, update: EndpointUpdate) -> list[Endpoint]:
         endpoints = []
-        seen = set[int]()
         for record in update.endpoints:
             try:
-                endpoint = self._endpoint(record)
+                endpoints.append(self._endpoint(record))
             except EndpointListError as error:
                 # One invalid entry must not prevent the others from being used.
                 log.warning("endpoint entry unusable", error=error)
-                continue
-            if endpoint.engine in seen:
-                log.warning("endpoint entry repeated", instance_id=record.instance_id)
-            seen.add(endpoint.engine)
-            endpoints.append(endpoint)
         return endpoints
 
     def _drop_removed_addresses(self, endpoints: list[Endpoint], is_snapshot: bool) -> None:
--- a/lilacfront/server/endpoint_feed.py
+++ b/lilacfront/server/endpoint_feed.py
@@ -8,7 +8,7 @@
 from lilacfront.core.dispatcher import RequestDispatcher
 from lilacfront.decisions.events import EndpointList
 from lilacfront.discovery.change_log import ChangeLog
-from lilacfront.discovery.endpoint_list import EndpointRegistry, EndpointUpdate
+from lilacfront.discovery.endpoint_list import EndpointRegistry, EndpointUpdate, split_repeats
 from lilacfront.discovery.etcd_watch import EtcdWatch
 from lilacfront.operations.service import Operations
 from lilacfront.sched import Loop
@@ -76,10 +76,11 @@
     def apply_update(self, update: EndpointUpdate) -> None:
         """Pass an update to the router after applying the operators' suspensions to it."""
         assert self._operations is not None
-        endpoint_list, addresses = self.registry.apply(update)
-        instance_ids = [record.instance_id for record in update.endpoints if record.instance_id]
-        visible = self._operations.apply_maintenance(endpoint_list, instance_ids)
-        self._dispatcher.update_endpoints(visible, addresses)
+        for part in split_repeats(update):
+            endpoint_list, addresses = self.registry.apply(part)
+            instance_ids = [record.instance_id for record in part.endpoints if record.instance_id]
+            visible = self._operations.apply_maintenance(endpoint_list, instance_ids)
+            self._dispatcher.update_endpoints(visible, addresses)
 
     def republish(self, endpoint_list: EndpointList) -> None:
         """Pass a change of the endpoint list made by an operator to the router."""
