A stream's send queue owns its chunks and their count; a close clears both

What operators would see: the memory for unread answers is limited too late, later with each connection closed over queued bytes.

Cause: Stream.close subtracted the queued bytes and left the chunks; a pending flush or a later withdrawal removed them and subtracted their size again.

--- a/lilacfront/sched/loop.py
+++ b/lilacfront/sched/loop.py
@@ -96,13 +96,11 @@
 
 
 class Writer(Protocol):
-    """A stream with queued bytes that the kernel has not accepted yet.
+    """A stream with queued bytes that the kernel has not accepted yet."""
 
-    Attributes:
-        queued_bytes: The number of those bytes.
-    """
-
-    queued_bytes: int
+    @property
+    def queued_bytes(self) -> int:
+        """The number of those bytes."""
 
     @property
     def holds_final_answer(self) -> bool:
--- a/lilacfront/sched/stream.py
+++ b/lilacfront/sched/stream.py
@@ -18,12 +18,12 @@
 import socket
 import struct
 import termios
-from collections import deque
 from collections.abc import Callable
 from enum import Enum
 
 from lilacfront.sched.chunk import Chunk
 from lilacfront.sched.loop import Loop, Task, Wait
+from lilacfront.sched.send_queue import SendQueue
 
 READ_BYTES = 65536
 # A peer that accepts no bytes for this time while bytes are queued is disconnected.
@@ -34,8 +34,6 @@
 LINGER_S = 0.5
 # The part of a stream's queue limit that only short answers may use.
 RESERVED_ANSWER_BYTES = 1 << 18
-# The most chunks that one system call sends.
-MAX_GATHERED_CHUNKS = 64
 INT = struct.Struct("i")
 FIN_LENGTH = 1  # the end of the output counts as one byte
 READABLE = select.POLLIN | select.POLLHUP | select.POLLERR
@@ -66,8 +64,6 @@
         on_half_close: Called during a graceful close, when all queued bytes have been sent and the connection
             has been half-closed.
         on_close: Called when the descriptor has been closed.
-        queued_bytes: The size of the chunks in the queue. A chunk counts in full until the kernel has
-            accepted all of it or it is withdrawn.
     """
 
     def __init__(self, loop: Loop, sock: socket.socket, max_queued_bytes: int) -> None:
@@ -80,10 +76,8 @@
         self.on_graceful_close: Callable[[], None] = lambda: None
         self.on_half_close: Callable[[], None] = lambda: None
         self.on_close: Callable[[], None] = lambda: None
-        self.queued_bytes = 0
-        self._final_chunks = 0
         self._is_released = False
-        self._chunks: deque[Chunk] = deque()
+        self._queue = SendQueue(loop)
         self._reader: Task | None = None
         self._connector: Task | None = None
         # The task that waits until `queued_bytes` is at most `_queue_target`.
@@ -92,7 +86,6 @@
         # Whether the last read seems to have emptied the receive buffer. If so, the next read polls first.
         self._is_input_empty = False
         self._awaits_writable = False
-        self._progress_at = loop.now
         self._poll_mask = 0
 
     @classmethod
@@ -241,10 +234,15 @@
             pass
         return False  # closed, by either side, or with an unread byte
 
+    @property
+    def queued_bytes(self) -> int:
+        """The size of the chunks that are not sent in full; see `SendQueue`."""
+        return self._queue.size_bytes
+
     @property
     def holds_final_answer(self) -> bool:
         """Whether a final answer is queued that is not sent in full."""
-        return self._final_chunks > 0
+        return self._queue.holds_final_answer
 
     def has_answer_capacity(self, size: int) -> bool:
         """Whether a final answer of this many bytes may be queued.
@@ -276,12 +274,7 @@
         chunk = Chunk(data, permit, is_final)
         if self.closed:
             return chunk
-        if not self._chunks:
-            self._progress_at = self.loop.now
-        self._chunks.append(chunk)
-        self._final_chunks += is_final
-        self.queued_bytes += len(data)
-        self.loop.add_queued_bytes(len(data))
+        self._queue.append(chunk)
         if self.queued_bytes > self.max_queued_bytes:
             self.close()
         elif not self._awaits_writable:
@@ -309,28 +302,12 @@
 
     def flush(self) -> None:
         """Send as many queued bytes as the kernel accepts now."""
-        while self._chunks and not self._is_released:
-            self._remove_finished_chunks()
-            batch = [chunk for chunk in list(self._chunks)[:MAX_GATHERED_CHUNKS] if chunk.is_sendable]
-            if not batch:
-                # All chunks of the batch are withdrawn; the next iteration removes them from the queue.
-                if self._chunks:
-                    continue
-                break
-            try:
-                first = memoryview(batch[0].data)[batch[0].sent :]
-                sent = self.sock.sendmsg([first, *(chunk.data for chunk in batch[1:])])
-            except BlockingIOError:
-                break
-            except OSError:
-                self.close()
-                return
-            self._progress_at = self.loop.now
-            for chunk in batch:
-                part = min(sent, len(chunk.data) - chunk.sent)
-                chunk.sent += part
-                sent -= part
-        self._remove_finished_chunks()
+        if self._is_released:
+            return
+        try:
+            self._queue.send(self.sock)
+        except OSError:
+            self.close()
         if not self._is_released:
             self._update_after_flush()
 
@@ -338,7 +315,7 @@
         """Wake the task that waits for the queue, and watch for writability while bytes are queued."""
         if self._queue_waiter is not None and self.queued_bytes <= self._queue_target:
             self._queue_waiter.wake(None)
-        has_queue = bool(self._chunks)
+        has_queue = bool(self._queue)
         if has_queue == self._awaits_writable:
             return
         self._awaits_writable = has_queue
@@ -350,22 +327,13 @@
         if has_queue:
             self._check_stall()
 
-    def _remove_finished_chunks(self) -> None:
-        """Remove fully sent and withdrawn chunks from the head of the queue."""
-        while self._chunks and (self._chunks[0].withdrawn or self._chunks[0].is_fully_sent):
-            chunk = self._chunks.popleft()
-            size = len(chunk.data)
-            self._final_chunks -= chunk.is_final
-            self.queued_bytes -= size
-            self.loop.add_queued_bytes(-size)
-
     def _check_stall(self) -> None:
         if self._is_released or not self._awaits_writable:
             return
-        if self.loop.now - self._progress_at >= MAX_STALL_S:
+        if self.loop.now - self._queue.progress_at >= MAX_STALL_S:
             self.close()
         else:
-            self.loop.call_at(self._progress_at + MAX_STALL_S, self._check_stall)
+            self.loop.call_at(self._queue.progress_at + MAX_STALL_S, self._check_stall)
 
     def close_gracefully(self, within_s: float = LINGER_S) -> None:
         """Close the connection after the queued bytes have been sent.
@@ -380,14 +348,14 @@
         self.closed = True
         self._wake_tasks()
         self.on_graceful_close()
-        if not self._chunks:
+        if not self._queue:
             self._half_close()
         self.loop.spawn(self._linger, within_s)
 
     def _linger(self, task: Task, within_s: float) -> None:
-        if self._chunks:
+        if self._queue:
             self._send_queue(task)
-        if not self._is_released and not self._chunks:
+        if not self._is_released and not self._queue:
             self._await_peer_close(task, within_s)
         self.close()
 
@@ -395,7 +363,7 @@
         """Send the queued bytes and half-close; gives up after `MAX_STALL_S` without progress."""
         self.flush()
         while not self._is_released and self.queued_bytes:
-            stalled_at = self._progress_at + MAX_STALL_S
+            stalled_at = self._queue.progress_at + MAX_STALL_S
             if self.loop.now >= stalled_at:
                 return
             self._wait_for_queue(task, stalled_at, 0)
@@ -477,9 +445,7 @@
         self.closed = True
         self._is_released = True
         self.loop.unflushed_streams.discard(self)
-        self.loop.add_queued_bytes(-self.queued_bytes)
-        self.queued_bytes = 0
-        self._final_chunks = 0
+        self._queue.clear()
         self.sock.close()
         self._wake_tasks()
         self.on_close()
--- a/tests/sched/test_stream.py
+++ b/tests/sched/test_stream.py
@@ -120,6 +120,22 @@
     peer.close()
 
 
+def test_chunk_withdrawn_after_the_close_is_not_subtracted_again(manual_loop: ManualLoop) -> None:
+    """Guards against a count of queued bytes that falls below those that are queued."""
+    stream, peer = manual_loop.connected_stream(1 << 20)
+    other, other_peer = manual_loop.connected_stream(1 << 20)
+    chunk = stream.write(bytes(1000))
+    stream.close()
+    assert chunk.withdraw()
+    other.write(bytes(500))
+    assert manual_loop.loop.queued_bytes == 500
+    stream.flush()
+    assert manual_loop.loop.queued_bytes == 500
+    other.close()
+    peer.close()
+    other_peer.close()
+
+
 def test_graceful_close_discards_a_limited_number_of_bytes(manual_loop: ManualLoop) -> None:
     stream, peer = manual_loop.connected_stream(1000)
     peer.setblocking(False)
