--- a/lilacfront/sched/stream.py
+++ b/lilacfront/sched/stream.py
@@ -32,8 +32,9 @@
 MAX_DISCARDED_BYTES = 1 << 20
 # How long a half-closed connection waits by default for its peer to close.
 LINGER_S = 0.5
-# The part of a stream's queue limit that only short answers may use.
+# The part of a stream's queue limit that only answers up to `SHORT_ANSWER_BYTES` may use.
 RESERVED_ANSWER_BYTES = 1 << 18
+SHORT_ANSWER_BYTES = 1 << 10  # most answers to loads are shorter
 INT = struct.Struct("i")
 FIN_LENGTH = 1  # the end of the output counts as one byte
 READABLE = select.POLLIN | select.POLLHUP | select.POLLERR
@@ -248,9 +249,10 @@
         """Whether a final answer of this many bytes may be queued.
 
         A peer that keeps up with its answers may always be sent another one. To others, long answers are sent
-        only within the limits; a part of the stream's own limit is kept for the short answers in their place.
+        only within the limits; a part of the stream's own limit is kept for short ones, also those in place
+        of long ones.
         """
-        if not self._awaits_writable:
+        if not self._awaits_writable or size <= SHORT_ANSWER_BYTES:
             return True
         stream_limit = self.max_queued_bytes - RESERVED_ANSWER_BYTES
         return (
--- a/tests/sched/test_stream.py
+++ b/tests/sched/test_stream.py
@@ -87,6 +87,7 @@
     answered.write(bytes(4 << 20), is_final=True)
     loop.turn(0)
     assert not answered.has_answer_capacity(3 << 20)
+    assert answered.has_answer_capacity(1000), "a short answer takes no less memory than a failure"
     assert last.has_answer_capacity(3 << 20), "a peer that keeps up may be sent another answer"
     streaming.write(bytes(1 << 20))
     loop.turn(0)
