Short answers to clients that never read are bounded below half of the memory

Cause: streams with final answers are not closed to save memory any more, and pings and errors for invalid messages counted as final, so that a client that sends for minutes and hardly reads could have filled the memory (2 MB for each connection). By reading of the own change, not by a run.

Change: pings and errors for invalid messages are not final answers to requests and don't protect a connection; above four times the limit, half of the memory, the longest queue is closed whatever it holds.

--- a/lilacfront/frontends/clickhouse_connection.py
+++ b/lilacfront/frontends/clickhouse_connection.py
@@ -112,9 +112,9 @@
 
     def _answer_ping(self, method: bytes, keep_alive: bool) -> None:
         if self._services.health.is_healthy():
-            self._stream.write(encode_text(200, b"Ok.\n", [], keep_alive, method), is_final=True)
+            self._stream.write(encode_text(200, b"Ok.\n", [], keep_alive, method))
         else:
-            self._stream.write(encode_text(503, b"Leaving.\n", [], keep_alive, method), is_final=True)
+            self._stream.write(encode_text(503, b"Leaving.\n", [], keep_alive, method))
 
     def _watch_client(self, task: Task, in_flight: InFlightRequest) -> None:
         """Until the request is answered, read pipelined bytes and cancel it if the client disconnects."""
--- a/lilacfront/frontends/platform_messages.py
+++ b/lilacfront/frontends/platform_messages.py
@@ -80,7 +80,7 @@
                 self._reject_message(name, seqid, thrift.PROTOCOL_ERROR, "not a call")
             case b"ping":
                 is_healthy = self._services.health.is_healthy()
-                self._stream.write(thrift.encode_answer(name, seqid, b"", is_healthy), is_final=True)
+                self._stream.write(thrift.encode_answer(name, seqid, b"", is_healthy))
                 self._requests.update_idle()
             case b"invoke":
                 self._invoke(message, received_at)
@@ -88,7 +88,7 @@
                 self._reject_message(name, seqid, thrift.UNKNOWN_METHOD, "no such method")
 
     def _reject_message(self, name: bytes, seqid: int, code: int, text: str) -> None:
-        self._stream.write(thrift.encode_application_exception(name, seqid, code, text), is_final=True)
+        self._stream.write(thrift.encode_application_exception(name, seqid, code, text))
         self._deferred.back_off()
 
     def _abort(self, seqid: int) -> None:
--- a/lilacfront/sched/loop.py
+++ b/lilacfront/sched/loop.py
@@ -31,6 +31,9 @@
 MAX_POLL_S = 1.0
 # The default limit of the bytes queued on all streams together.
 MAX_QUEUED_BYTES = 32 << 20
+# Above the limit times this factor, streams with final answers are closed, too: the process would be killed
+# and lose them all.
+HARD_LIMIT_FACTOR = 4
 WAKEUP_READ_BYTES = 4096
 
 
@@ -237,6 +240,7 @@
         """Add to the count of queued bytes; `size` is negative when bytes have left the queue of a stream.
 
         Above the limit, the unflushed stream with the longest queue and without a final answer is closed.
+        Above the limit times `HARD_LIMIT_FACTOR`, it may hold a final answer.
         """
         self.queued_bytes += size
         if size <= 0 or self.queued_bytes <= self.max_queued_bytes:
@@ -244,7 +248,10 @@
         # Otherwise many peers that do not read could use up the memory, although each of them stays within
         # the limit of its own stream. The final answers are limited where they are made
         # (`Stream.has_answer_capacity`).
-        droppable = [stream for stream in self.unflushed_streams if not stream.holds_final_answer]
+        is_last_resort = self.queued_bytes > HARD_LIMIT_FACTOR * self.max_queued_bytes
+        droppable = [
+            stream for stream in self.unflushed_streams if is_last_resort or not stream.holds_final_answer
+        ]
         if droppable:
             max(droppable, key=lambda stream: stream.queued_bytes).close()
 
--- a/tests/sched/test_stream.py
+++ b/tests/sched/test_stream.py
@@ -101,6 +101,25 @@
     assert loop.queued_bytes == 0
 
 
+def test_final_answers_are_dropped_above_the_hard_limit_of_the_loop(manual_loop: ManualLoop) -> None:
+    """Guards against clients that send without reading until the process is killed."""
+    loop = manual_loop.loop
+    loop.max_queued_bytes = 1 << 20
+    pairs = [manual_loop.connected_stream(8 << 20) for _ in range(2)]
+    for stream, _ in pairs:
+        stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+    longest, other = [stream for stream, _ in pairs]
+    longest.write(bytes(3 << 20), is_final=True)
+    loop.turn(0)
+    other.write(bytes(1 << 19), is_final=True)
+    loop.turn(0)
+    assert not longest.closed
+    other.write(bytes(1 << 20), is_final=True)
+    assert longest.closed
+    assert not other.closed
+    other.close()
+
+
 def test_slow_reader_receives_its_whole_answer_after_a_graceful_close(manual_loop: ManualLoop) -> None:
     """Guards against the loss of the rest of an answer that takes longer than the stall timeout to read."""
     stream, peer = manual_loop.connected_stream(1 << 20)
