etcd's list and watch are requested at once, so that their delays don't add up

Cause: the watch was requested after the list had arrived, so a change between them needed two delays.

Tests changed, as strict: the exchanges of etcd name both connections (verb !swap); each still checks every byte. The late etcd stand-in gives each connection its own received bytes, since two are open at the start.

--- a/tests/discovery/test_late_sources.py
+++ b/tests/discovery/test_late_sources.py
@@ -24,7 +24,7 @@
     """A kind of source and the path that uses it."""
 
     dialect: Callable[[], Dialect]
-    place: Callable[[Harness], LateSource]
+    place: Callable[..., LateSource]
 
 
 CHANGE_LOG = SourceKind(ThriftResp, change_log_of)
@@ -87,6 +87,22 @@
         assert not lookups.sent_to_draining()
 
 
+@pytest.mark.parametrize("kind", KINDS)
+@pytest.mark.parametrize("before_drain_s", [0.0, 0.5, 2.0, 4.5])
+@pytest.mark.parametrize("delay_s", [2.5, 4.0, 5.0, 6.9])
+def test_drain_while_the_first_list_is_late_is_heard(
+    kind: SourceKind, delay_s: float, before_drain_s: float
+) -> None:
+    """Guards against a list and a watch of etcd that follow each other, so that their delays add up."""
+    with running_harness(kind.dialect) as harness:
+        source = kind.place(harness, delay_s)
+        harness.wait(before_drain_s)
+        lookups = Lookups(harness)
+        source.drain()
+        lookups.send_for(TOLD_S + GRACE_S)
+        assert not lookups.sent_to_draining()
+
+
 @pytest.mark.parametrize("kind", KINDS)
 @pytest.mark.parametrize("after_silence_s", [0.0, 0.9])
 @pytest.mark.parametrize("quiet_s", [1.0, 4.0])
--- a/tests/discovery/test_repeated_changes.py
+++ b/tests/discovery/test_repeated_changes.py
@@ -80,8 +80,8 @@
         etcd = harness.actors["E"]
         dialect = harness.dialect
         assert isinstance(dialect, Etcd)
-        harness.step("E", "ranges", "")
+        harness.replay_exchange("E watches 0\nE !swap\nE ranges")
         harness.send(etcd, dialect.lists("5", "W1", "W2"))
-        harness.step("E", "watches", "6")
+        harness.replay_exchange("E !eof\nE !swap")
         harness.send(etcd, dialect.created("5") + dialect.changes("7", ["W1 draining", "W1 ready"]))
         check_lookups(harness, is_sent_to_first=True)
--- a/tests/late_source.py
+++ b/tests/late_source.py
@@ -110,13 +110,13 @@
         connects: The number of connections that the front end has opened.
     """
 
-    def __init__(self, harness: Harness, name: str, protocol: SourceProtocol) -> None:
+    def __init__(self, harness: Harness, name: str, protocol: SourceProtocol, delay_s: float = 0.0) -> None:
         super().__init__(False)
         replaced = harness.actors[name]
         assert replaced.listener is not None
         self.listener = replaced.listener
         self.address = replaced.address
-        self.delay_s = 0.0
+        self.delay_s = delay_s
         self.connects = 0
         self._clock: Clock = harness.clock
         self._protocol = protocol
@@ -124,7 +124,7 @@
         self._connections: list[_Connection] = []
         for sock in (*replaced.other_sockets, replaced.connection):
             if sock is not None:
-                self._add(sock, replaced.received)
+                self._add(sock, replaced.received_by_connection.get(sock, b""))
         harness.actors[name] = self
 
     def _add(self, sock: socket.socket, received: bytes = b"") -> None:
@@ -149,6 +149,19 @@
             connection.sock.close()
         self._connections.clear()
 
+    def stop(self) -> None:
+        """End the connections and refuse new ones."""
+        assert self.listener is not None
+        self.close_connections()
+        self.listener.close()
+        self.listener = None
+
+    def resume(self) -> None:
+        """Listen at the same address again."""
+        host, port = self.address.split(":")
+        self.listener = socket.create_server((host, int(port)))
+        self.listener.setblocking(False)
+
     def drain(self) -> None:
         """Publish the drain."""
         self._is_drained = True
@@ -158,9 +171,8 @@
 
     def receive(self) -> None:
         """Accept, read requests, and send what is due."""
-        assert self.listener is not None
         with contextlib.suppress(BlockingIOError):
-            while True:
+            while self.listener is not None:
                 self._add(self.listener.accept()[0])
         for connection in list(self._connections):
             self._read(connection)
@@ -206,12 +218,12 @@
             connection.sock.close()
 
 
-def change_log_of(harness: Harness) -> LateSource:
+def change_log_of(harness: Harness, delay_s: float = 0.0) -> LateSource:
     """Put a late change log in the place of the harness's."""
-    return LateSource(harness, "L", ChangeLogProtocol(harness.entry("W1", "draining")))
+    return LateSource(harness, "L", ChangeLogProtocol(harness.entry("W1", "draining")), delay_s)
 
 
-def etcd_of(harness: Harness) -> LateSource:
+def etcd_of(harness: Harness, delay_s: float = 0.0) -> LateSource:
     """Put a late etcd server in the place of the harness's."""
     entries = [harness.entry("W1"), harness.entry("W2")]
-    return LateSource(harness, "E", EtcdProtocol(entries, harness.entry("W1", "draining")))
+    return LateSource(harness, "E", EtcdProtocol(entries, harness.entry("W1", "draining")), delay_s)
--- a/tests/play/actors.py
+++ b/tests/play/actors.py
@@ -103,6 +103,13 @@
         self.connection = connection
         self.eof = False
 
+    def swap_connections(self) -> None:
+        """Make the latest earlier connection the current one, and the current one an earlier one."""
+        assert self.connection is not None
+        earlier = self.other_sockets.pop()
+        self.other_sockets.append(self.connection)
+        self.use_connection(earlier)
+
     def close_connection(self, with_reset: bool = False) -> None:
         """Close the current connection normally, or by a TCP reset."""
         assert self.connection is not None
--- a/tests/play/harness.py
+++ b/tests/play/harness.py
@@ -229,6 +229,8 @@
             case "eof":
                 self.until(lambda: actor.eof, "the end of the connection")
                 assert not actor.received, f"unexpected bytes: {actor.received!r}"
+            case "swap":
+                actor.swap_connections()
             case "only":
                 self.until(actor.has_one_open_connection, "the ends of the earlier connections")
             case "nothing":
