Queued answers wait for a client that pauses until its deadline, not for 5 s

Cause: a stream without progress for MAX_STALL_S was closed whatever was queued.

Change: answers and parts of streamed results are written with the deadline of their request (awaited_until); a stall closes a stream only after it. The bounds on queued bytes are unchanged and still close first.

Left: answers passed on from a process that is being replaced, and rejections of unparsed requests, have no deadline there and get 5 s.

--- a/lilacfront/frontends/clickhouse_connection.py
+++ b/lilacfront/frontends/clickhouse_connection.py
@@ -168,9 +168,9 @@
                 # The missing last chunk tells the client that the result is incomplete.
                 self._stream.close_gracefully()
             case Rejected():
-                self._stream.write(encode_rejection(answer, result.keep_alive), is_final=True)
+                result.replace(encode_rejection(answer, result.keep_alive))
             case Failed():
-                self._stream.write(encode_failure(answer, result.keep_alive), is_final=True)
+                result.replace(encode_failure(answer, result.keep_alive))
             case Completed() | StatementFailed():
                 log.warning("answer exceeds memory limit")
-                self._stream.write(encode_failure(Failed(), result.keep_alive), is_final=True)
+                result.replace(encode_failure(Failed(), result.keep_alive))
--- a/lilacfront/frontends/clickhouse_result.py
+++ b/lilacfront/frontends/clickhouse_result.py
@@ -44,7 +44,7 @@
         Waits while more than `MAX_UNREAD_BYTES` are queued for the client.
         """
         if self.has_started:
-            self._stream.write(http1.chunk(data))
+            self._queue(http1.chunk(data))
         else:
             self._buffer += data
             if len(self._buffer) <= MAX_BUFFERED_BYTES:
@@ -67,17 +67,25 @@
     def finish(self) -> None:
         """Write the rest of a complete result."""
         if self.has_started:
-            self._stream.write(http1.LAST_CHUNK, is_final=True)
+            self._queue(http1.LAST_CHUNK, is_final=True)
         else:
             length = (b"Content-Length", b"%d" % len(self._buffer))
-            self._stream.write(self._encode_head(length) + bytes(self._buffer), is_final=True)
+            self._queue(self._encode_head(length) + bytes(self._buffer), is_final=True)
+
+    def replace(self, response: bytes) -> None:
+        """Write a whole response in place of the result, of which nothing has been sent."""
+        self._queue(response, is_final=True)
+
+    def _queue(self, data: bytes, is_final: bool = False) -> None:
+        assert self.in_flight is not None
+        self._stream.write(data, is_final=is_final, awaited_until=self.in_flight.request.deadline)
 
     def _start_streaming(self) -> None:
         assert self.in_flight is not None
         self.has_started = True
         self._dispatcher.response_started(self.in_flight)
         head = self._encode_head((b"Transfer-Encoding", b"chunked"))
-        self._stream.write(head + http1.chunk(bytes(self._buffer)))
+        self._queue(head + http1.chunk(bytes(self._buffer)))
         self._buffer.clear()
 
     def _encode_head(self, framing: tuple[bytes, bytes]) -> bytes:
--- a/lilacfront/frontends/platform_requests.py
+++ b/lilacfront/frontends/platform_requests.py
@@ -6,7 +6,15 @@
 
 from lilacfront.core.in_flight import InFlightRequest
 from lilacfront.core.lifecycle import run_request
-from lilacfront.core.model import Completed, Failed, FinalAnswer, Rejected, Request, StatementFailed
+from lilacfront.core.model import (
+    Cancelled,
+    Completed,
+    Failed,
+    FinalAnswer,
+    Rejected,
+    Request,
+    StatementFailed,
+)
 from lilacfront.frontends.connection_handover import ConnectionHandover, TransferKey
 from lilacfront.frontends.deferred_messages import DeferredMessages
 from lilacfront.frontends.listener import ClientSlot
@@ -112,7 +120,7 @@
             return
         del self._open[seqid]
         self._services.open_call_ids.discard(request.call_id)
-        self._send_final_answer(seqid, answer, sink.body)
+        self._send_final_answer(seqid, answer, sink.body, request.deadline)
 
     def _is_open(self, seqid: int, request: Request, in_flight: InFlightRequest | None) -> bool:
         """Whether this request has not been cancelled and its number not been reused."""
@@ -123,23 +131,32 @@
             and open_request.in_flight is in_flight
         )
 
-    def _send_final_answer(self, seqid: int, answer: FinalAnswer, body: bytes) -> None:
+    def _send_final_answer(self, seqid: int, answer: FinalAnswer, body: bytes, deadline: float) -> None:
         match answer:
             case Completed():
-                self._send_answer(seqid, thrift.encode_answer(b"invoke", seqid, body))
+                frame = thrift.encode_answer(b"invoke", seqid, body)
             case Rejected(retry_after_ms):
                 fields = {b"pushback": b"%d" % retry_after_ms} if retry_after_ms else {}
-                self._send_answer(seqid, thrift.encode_shed(seqid, fields))
+                frame = thrift.encode_shed(seqid, fields)
             case Failed() | StatementFailed():
-                self._send_answer(seqid, thrift.encode_fault(seqid, {}))
+                frame = thrift.encode_fault(seqid, {})
+            case Cancelled():
+                return
+        self._send_answer(seqid, frame, deadline)
+
+    def _send_answer(self, seqid: int, frame: bytes, deadline: float = 0.0) -> None:
+        """Write an answer, or forward it to the process that has the connection.
 
-    def _send_answer(self, seqid: int, frame: bytes) -> None:
-        """Write an answer, or forward it to the process that has the connection."""
+        Args:
+            seqid: Sequence number of the request.
+            frame: The answer.
+            deadline: Time until which the client waits for it, in seconds; 0 if unknown.
+        """
         if not self.handover.is_transferred:
             if not self._stream.has_answer_capacity(len(frame)):
                 log.warning("answer exceeds memory limit", bytes=len(frame))
                 frame = thrift.encode_fault(seqid, {})
-            self._stream.write(frame, is_final=True)
+            self._stream.write(frame, is_final=True, awaited_until=deadline)
             self.update_idle()
         elif self.handover.forward_answer(seqid, frame):
             self._release_handover()
--- a/lilacfront/sched/stream.py
+++ b/lilacfront/sched/stream.py
@@ -26,7 +26,8 @@
 from lilacfront.sched.send_queue import SendQueue
 
 READ_BYTES = 65536
-# A peer that accepts no bytes for this time while bytes are queued is disconnected.
+# A peer that accepts no bytes for this time while bytes are queued is disconnected, unless it still waits for
+# an answer; see `Stream.write`.
 MAX_STALL_S = 5.0
 # The most bytes that are read and discarded from a peer that keeps sending after the half-close.
 MAX_DISCARDED_BYTES = 1 << 20
@@ -84,6 +85,7 @@
         # The task that waits until `queued_bytes` is at most `_queue_target`.
         self._queue_waiter: Task | None = None
         self._queue_target = 0
+        self._answers_awaited_until = 0.0
         # Whether the last read seems to have emptied the receive buffer. If so, the next read polls first.
         self._is_input_empty = False
         self._awaits_writable = False
@@ -260,7 +262,13 @@
             and self.loop.queued_bytes + size <= self.loop.max_queued_bytes
         )
 
-    def write(self, data: bytes, permit: Callable[[], bool] | None = None, is_final: bool = False) -> Chunk:
+    def write(
+        self,
+        data: bytes,
+        permit: Callable[[], bool] | None = None,
+        is_final: bool = False,
+        awaited_until: float = 0.0,
+    ) -> Chunk:
         """Queue bytes, to be sent at the end of this turn if there is no `permit` or it returns True then.
 
         If more than `max_queued_bytes` are queued after this write, the peer is disconnected, so that a peer
@@ -272,10 +280,13 @@
             permit: See `Chunk`.
             is_final: Whether the bytes complete a final answer. While such bytes are queued, the stream is
                 not closed to save memory; see `has_answer_capacity`.
+            awaited_until: Time until which the peer waits for the answer that the bytes belong to, in
+                seconds. Until then it is not disconnected because it accepts no bytes.
         """
         chunk = Chunk(data, permit, is_final)
         if self.closed:
             return chunk
+        self._answers_awaited_until = max(self._answers_awaited_until, awaited_until)
         self._queue.append(chunk)
         if self.queued_bytes > self.max_queued_bytes:
             self.close()
@@ -332,10 +343,15 @@
     def _check_stall(self) -> None:
         if self._is_released or not self._awaits_writable:
             return
-        if self.loop.now - self._queue.progress_at >= MAX_STALL_S:
+        stalled_at = self._stalled_at(self._queue.progress_at)
+        if self.loop.now >= stalled_at:
             self.close()
         else:
-            self.loop.call_at(self._queue.progress_at + MAX_STALL_S, self._check_stall)
+            self.loop.call_at(stalled_at, self._check_stall)
+
+    def _stalled_at(self, progress_at: float) -> float:
+        """Time at which a peer that has accepted no bytes since `progress_at` is disconnected."""
+        return max(progress_at + MAX_STALL_S, self._answers_awaited_until)
 
     def close_gracefully(self, within_s: float = LINGER_S) -> None:
         """Close the connection after the queued bytes have been sent.
@@ -362,10 +378,10 @@
         self.close()
 
     def _send_queue(self, task: Task) -> None:
-        """Send the queued bytes and half-close; gives up after `MAX_STALL_S` without progress."""
+        """Send the queued bytes and half-close; gives up when the peer has stalled."""
         self.flush()
         while not self._is_released and self.queued_bytes:
-            stalled_at = self._queue.progress_at + MAX_STALL_S
+            stalled_at = self._stalled_at(self._queue.progress_at)
             if self.loop.now >= stalled_at:
                 return
             self._wait_for_queue(task, stalled_at, 0)
@@ -397,10 +413,10 @@
         """Discard input until the peer closes or `within_s` have passed.
 
         While the peer's system has not acknowledged everything, the wait goes on as long as it acknowledges
-        more within `MAX_STALL_S`: closing over bytes that the peer sends meanwhile would lose the rest.
+        more before it has stalled: closing over bytes that the peer sends meanwhile would lose the rest.
         """
         unacknowledged = self._unacknowledged_bytes()
-        stalled_at = self.loop.now + MAX_STALL_S
+        stalled_at = self._stalled_at(self.loop.now)
         discarded_bytes = 0
         while True:
             discarded = self._discard_input(
@@ -411,7 +427,7 @@
             discarded_bytes += discarded
             still_unacknowledged = self._unacknowledged_bytes()
             if still_unacknowledged != unacknowledged:
-                stalled_at = self.loop.now + MAX_STALL_S
+                stalled_at = self._stalled_at(self.loop.now)
             unacknowledged = still_unacknowledged
             if not unacknowledged or self.loop.now >= stalled_at:
                 return
