Clients that are still sending a rejected body get the answer to it

Change: the rest of a rejected body is discarded within the times of an accepted one (2 s between reads, 30 s in all), one read a turn; until then the connection does not count as delivered. The wait after a half-close has a module of its own, sched/lingering.py; stream.py is shorter.

The processor time of many such clients at once was not measured.

--- a/lilacfront/frontends/clickhouse_connection.py
+++ b/lilacfront/frontends/clickhouse_connection.py
@@ -60,17 +60,19 @@
     # ---- serving ------------------------------------------------------------------------------------
     def run(self, task: Task) -> None:
         """Read and answer requests until the connection ends."""
+        rejected_body = None
         try:
             while not self._stream.closed and self._serve_next(task):
                 pass
         except http1.HttpError as error:
+            rejected_body = self._reader.rejected_body
             text = str(error).encode()
             self._stream.write(
                 encode_error(error.status, ErrorCode.BAD_ARGUMENTS, text, keep_alive=False), is_final=True
             )
         finally:
             self._reader.release_body()
-            self._stream.close_gracefully(FINISH_TIMEOUT_S)
+            self._stream.close_gracefully(FINISH_TIMEOUT_S, rejected_body)
 
     def _serve_next(self, task: Task) -> bool:
         """Read and answer one request; return whether another one may follow.
--- a/lilacfront/frontends/clickhouse_reader.py
+++ b/lilacfront/frontends/clickhouse_reader.py
@@ -6,7 +6,7 @@
 from lilacfront.frontends.clickhouse_services import BodyBudget
 from lilacfront.frontends.listener import ClientSlot
 from lilacfront.protocols import http1
-from lilacfront.sched import Task, Wait
+from lilacfront.sched import RejectedInput, Task, Wait
 
 MAX_PIPELINED_BYTES = 64 << 10  # limit for bytes of further requests that are read while one is served
 IDLE_TIMEOUT_S = 30.0  # time between two requests
@@ -49,6 +49,13 @@
         self._body = bytearray()
         self._account(0)
 
+    @property
+    def rejected_body(self) -> RejectedInput | None:
+        """How long the rest of the current body is discarded if it is rejected; None if there is no rest."""
+        if self._head is None or self._parser.is_between_messages:
+            return None
+        return RejectedInput(BODY_READ_TIMEOUT_S, self._deadline)
+
     def receive(self, task: Task) -> HttpRequest | None:
         """Wait for the next complete request; None if the connection ends or is idle for too long.
 
--- a/lilacfront/sched/__init__.py
+++ b/lilacfront/sched/__init__.py
@@ -1,7 +1,18 @@
 """The project's scheduler: greenlets over select.poll."""
 
 from lilacfront.sched.chunk import Chunk
+from lilacfront.sched.lingering import RejectedInput
 from lilacfront.sched.loop import Interrupted, Loop, Task, TimedOut, Wait
 from lilacfront.sched.stream import ConnectFailure, Stream
 
-__all__ = ["Chunk", "ConnectFailure", "Interrupted", "Loop", "Stream", "Task", "TimedOut", "Wait"]
+__all__ = [
+    "Chunk",
+    "ConnectFailure",
+    "Interrupted",
+    "Loop",
+    "RejectedInput",
+    "Stream",
+    "Task",
+    "TimedOut",
+    "Wait",
+]
--- a/lilacfront/sched/loop.py
+++ b/lilacfront/sched/loop.py
@@ -217,6 +217,13 @@
         self.wait(task, until)
         return Interrupted if task.interrupted else TimedOut
 
+    def yield_turn(self, task: Task) -> None:
+        """Suspend the running task until the next turn, so that other tasks and events get theirs."""
+        ticket = next(self._tickets)
+        task.wait_ticket = ticket
+        self.call_at(self.now, lambda: task.wake(None, ticket))
+        self.hub.switch()
+
     def call_at(self, when: float, call: Callable[[], None]) -> None:
         """Call a function once at the given time, in seconds."""
         ticket = next(self._tickets)
--- a/lilacfront/sched/stream.py
+++ b/lilacfront/sched/stream.py
@@ -13,15 +13,13 @@
 
 import contextlib
 import errno
-import fcntl
 import select
 import socket
-import struct
-import termios
 from collections.abc import Callable
 from enum import Enum
 
 from lilacfront.sched.chunk import Chunk
+from lilacfront.sched.lingering import Lingering, RejectedInput, unacknowledged_bytes
 from lilacfront.sched.loop import Loop, Task, Wait
 from lilacfront.sched.send_queue import SendQueue
 
@@ -29,15 +27,11 @@
 # A peer that accepts no bytes for this time while bytes are queued is disconnected, unless it still waits for
 # an answer; see `Stream.write`.
 MAX_STALL_S = 5.0
-# The most bytes that are read and discarded from a peer that keeps sending after the half-close.
-MAX_DISCARDED_BYTES = 1 << 20
 # How long a half-closed connection waits by default for its peer to close.
 LINGER_S = 0.5
 # The part of a stream's queue limit that only answers up to `SHORT_ANSWER_BYTES` may use.
 RESERVED_ANSWER_BYTES = 1 << 18
 SHORT_ANSWER_BYTES = 1 << 10  # most answers to loads are shorter
-INT = struct.Struct("i")
-FIN_LENGTH = 1  # the end of the output counts as one byte
 READABLE = select.POLLIN | select.POLLHUP | select.POLLERR
 WRITABLE = select.POLLOUT | select.POLLHUP | select.POLLERR
 
@@ -86,6 +80,7 @@
         self._queue_waiter: Task | None = None
         self._queue_target = 0
         self._answers_awaited_until = 0.0
+        self._is_rejecting = False
         # Whether the last read seems to have emptied the receive buffer. If so, the next read polls first.
         self._is_input_empty = False
         self._awaits_writable = False
@@ -353,28 +348,36 @@
         """Time at which a peer that has accepted no bytes since `progress_at` is disconnected."""
         return max(progress_at + MAX_STALL_S, self._answers_awaited_until)
 
-    def close_gracefully(self, within_s: float = LINGER_S) -> None:
+    def close_gracefully(self, within_s: float = LINGER_S, rejected: RejectedInput | None = None) -> None:
         """Close the connection after the queued bytes have been sent.
 
         This returns immediately; a new task sends the queued bytes, half-closes the connection, and waits up
         to `within_s` seconds for the peer to close, or longer while sent bytes are on their way. Bytes that
         arrive after the half-close are read and discarded. Closing a socket with unread bytes would send a
         TCP reset, and the peer could lose the last answers.
+
+        Args:
+            within_s: How long to wait for the peer to close, in seconds.
+            rejected: How long the rest of a rejected message is discarded before that.
         """
         if self.closed:
             return
         self.closed = True
+        self._is_rejecting = rejected is not None
         self._wake_tasks()
         self.on_graceful_close()
         if not self._queue:
             self._half_close()
-        self.loop.spawn(self._linger, within_s)
+        self.loop.spawn(self._linger, within_s, rejected)
 
-    def _linger(self, task: Task, within_s: float) -> None:
+    def _linger(self, task: Task, within_s: float, rejected: RejectedInput | None) -> None:
         if self._queue:
             self._send_queue(task)
         if not self._is_released and not self._queue:
-            self._await_peer_close(task, within_s)
+            lingering = Lingering(self.loop, self.sock, self._receive, self._stalled_at)
+            if rejected is None or lingering.discard_rejected(task, rejected):
+                self._is_rejecting = False
+                lingering.await_peer_close(task, within_s)
         self.close()
 
     def _send_queue(self, task: Task) -> None:
@@ -396,57 +399,12 @@
 
     @property
     def is_delivered(self) -> bool:
-        """Whether the peer's system has acknowledged all bytes of the half-closed connection.
-
-        While it is False, closing the connection may lose some of them.
-        """
-        return not self._unacknowledged_bytes()
-
-    def _unacknowledged_bytes(self) -> int:
-        """Count the bytes of a half-closed connection that the peer's system has not acknowledged."""
-        if self._is_released:
-            return 0
-        counted: int = INT.unpack(fcntl.ioctl(self.sock.fileno(), termios.TIOCOUTQ, bytes(INT.size)))[0]
-        return max(0, counted - FIN_LENGTH)
-
-    def _await_peer_close(self, task: Task, within_s: float) -> None:
-        """Discard input until the peer closes or `within_s` have passed.
+        """Whether a half-closed connection can be closed without the loss of sent bytes.
 
-        While the peer's system has not acknowledged everything, the wait goes on as long as it acknowledges
-        more before it has stalled: closing over bytes that the peer sends meanwhile would lose the rest.
+        That is so once the peer's system has acknowledged all of them, unless the peer is still sending the
+        rest of a message that was rejected: it may read only after that.
         """
-        unacknowledged = self._unacknowledged_bytes()
-        stalled_at = self._stalled_at(self.loop.now)
-        discarded_bytes = 0
-        while True:
-            discarded = self._discard_input(
-                task, self.loop.now + within_s, MAX_DISCARDED_BYTES - discarded_bytes
-            )
-            if discarded is None:
-                return
-            discarded_bytes += discarded
-            still_unacknowledged = self._unacknowledged_bytes()
-            if still_unacknowledged != unacknowledged:
-                stalled_at = self._stalled_at(self.loop.now)
-            unacknowledged = still_unacknowledged
-            if not unacknowledged or self.loop.now >= stalled_at:
-                return
-
-    def _discard_input(self, task: Task, until: float, max_bytes: int) -> int | None:
-        """Read and discard bytes until a time, in seconds.
-
-        Returns:
-            The number of bytes; None if the peer has closed or more than `max_bytes` were read.
-        """
-        discarded_bytes = 0
-        while discarded_bytes < max_bytes:
-            received = self._receive(task, until)
-            if received == b"":
-                return None
-            if isinstance(received, Wait):
-                return discarded_bytes
-            discarded_bytes += len(received or b"")
-        return None
+        return self._is_released or (not self._is_rejecting and not unacknowledged_bytes(self.sock))
 
     def _wake_tasks(self) -> None:
         if self._reader is not None:
