A stored list of an earlier start no longer replaces the configuration's

Cause: the stored list's number, counted from an earlier start, was compared with that of `known`; the higher one won and became the position in the change log.

Change: a stored list carries the origin of its number, a digest of the events in its start's configuration; numbers are compared within one origin alone. A list without an origin is encoded as before, and older versions ignore the new field (test).

Left: a start with the very same `known` can't be told from the earlier one (docs/questions.md); peers still compare the numbers of their lists.

--- a/lilacfront/discovery/change_log.py
+++ b/lilacfront/discovery/change_log.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import hashlib
 import math
 import random
 from collections.abc import Callable
@@ -28,6 +29,7 @@
 CATCH_UP_TIMEOUT_S = 0.2  # missed events start to arrive within this time after the request
 UNREACHABLE_TIMEOUT_S = 1.0  # time after the start at which the cached endpoint list is used without the log
 MAX_LINE_BYTES = 4 << 20
+ORIGIN_BYTES = 8
 MAX_QUEUED_BYTES = 1 << 16  # bytes queued for a log that does not read
 
 
@@ -56,6 +58,17 @@
     sequence: int = msgspec.field(name="seq", default=0)
     events: list[ChangeEvent] = msgspec.field(name="results", default_factory=list)
 
+    @property
+    def origin(self) -> str:
+        """Identifies the start that the sequence numbers are counted from; empty without events.
+
+        The log counts from 1 at every start of a front end. A start with other events is another one; one
+        with the same events is taken for the same, as after a power loss with an unchanged configuration.
+        """
+        if not self.events:
+            return ""
+        return hashlib.blake2s(msgspec.json.encode(self.events), digest_size=ORIGIN_BYTES).hexdigest()
+
 
 _LINE_DECODER = msgspec.json.Decoder(ChangeEvent | int)
 _RAW_EVENT_DECODER = msgspec.json.Decoder(RawChangeEvent)
--- a/lilacfront/recovery/coordinator.py
+++ b/lilacfront/recovery/coordinator.py
@@ -51,11 +51,16 @@
         dispatcher: RequestDispatcher,
         seed: int,
         host: RecoveryHost,
+        list_origin: str = "",
     ) -> None:
-        """Start restoring the state of the front end `name` and set the dispatcher's admission policy."""
+        """Start restoring the state of the front end `name` and set the dispatcher's admission policy.
+
+        `list_origin` identifies the start that the event numbers are counted from; see `CachedEvents.origin`.
+        """
         self.loop = loop
         self.settings = settings
         self._host = host
+        self._list_origin = list_origin
         self._stages = StartupStages(settings, loop.now)
         self._journal = RecoveryJournal(settings, name)
         self._endpoints = RestoredEndpoints()
@@ -92,7 +97,7 @@
         entries = tuple(
             EndpointEntry.from_endpoint(endpoint) for endpoint in update.endpoints if endpoint.instance_id
         )
-        self._journal.record(EndpointListRecord(seq, update.is_snapshot, entries))
+        self._journal.record(EndpointListRecord(seq, update.is_snapshot, entries, self._list_origin))
         self._exchange.invalidate()
 
     def record_change_log_reset(self) -> None:
@@ -156,10 +161,10 @@
             self._finish_restore(RestoreResult(None))
 
     def _finish_restore(self, result: RestoreResult) -> None:
-        """Apply the restored state: newer endpoints, directives, recent estimates and the incarnation."""
-        list_is_newer = self._journal.finish_restore(result, self._host.endpoint_list_seq())
+        """Apply the restored state: endpoints, if they are to be used, directives, estimates, incarnation."""
+        is_list_used = self._journal.finish_restore(result, self._host.endpoint_list_seq())
         state = self._journal.state
-        if list_is_newer:
+        if is_list_used:
             self._apply_endpoints()
             self._host.resume_change_log(state.list_seq)
         self._host.adopt_directives(state.directives.values())
--- a/lilacfront/recovery/durable_state.py
+++ b/lilacfront/recovery/durable_state.py
@@ -1,9 +1,9 @@
 """State that survives a power loss, built by applying the records of the journal. No I/O.
 
 Applying a record twice, or an older record after a newer one, changes nothing: directives are ordered by
-revision, endpoint lists by event number, and incarnations only rise. Load and estimate records have no such
-order, but a replay ends with the same record of each. A journal may therefore be replayed again from any
-earlier point.
+revision, endpoint lists of one start by event number, and incarnations only rise. Load and estimate records
+and lists of different starts have no such order, but a replay ends with the same record of each. A journal
+may therefore be replayed again from any earlier point.
 """
 
 from __future__ import annotations
@@ -50,6 +50,7 @@
 
     Attributes:
         list_seq: Number of the last change log event that `endpoints` includes.
+        list_origin: Identifies the start that `list_seq` is counted from.
         endpoints: Entries of the endpoint list, by instance id.
         directives: Operators' directives to this front end, by target.
         peer_directives: Replicas of the directives to peers, by the peer's number and by target.
@@ -61,6 +62,7 @@
 
     def __init__(self) -> None:
         self.list_seq = 0
+        self.list_origin = ""
         self.endpoints: dict[str, EndpointEntry] = {}
         self.directives: dict[str, OperatorDirective] = {}
         self.peer_directives: dict[int, dict[str, OperatorDirective]] = {}
@@ -93,9 +95,11 @@
 
     def _apply_endpoints(self, record: EndpointListRecord) -> None:
         repeated = record.seq == self.list_seq and not record.is_snapshot and record.seq > 0
-        if record.seq < self.list_seq or repeated:
+        # The numbers of different starts can't be compared; the later record is of the later start.
+        if record.origin == self.list_origin and (record.seq < self.list_seq or repeated):
             return
         self.list_seq = record.seq
+        self.list_origin = record.origin
         if record.is_snapshot:
             self.endpoints = {}
         for entry in record.entries:
@@ -120,7 +124,7 @@
 
     def checkpoint(self) -> Iterator[AnyRecord]:
         """Yield records that rebuild this state from an empty one."""
-        yield EndpointListRecord(self.list_seq, True, tuple(self.endpoints.values()))
+        yield EndpointListRecord(self.list_seq, True, tuple(self.endpoints.values()), self.list_origin)
         for directive in self.directives.values():
             yield DirectiveRecord(directive)
         for owner, replicas in self.peer_directives.items():
--- a/lilacfront/recovery/journal.py
+++ b/lilacfront/recovery/journal.py
@@ -65,16 +65,22 @@
             list_seq: Number of the last event that the endpoint list in use includes.
 
         Returns:
-            Whether the restored endpoint list is newer than the one in use.
+            Whether the restored endpoint list is to be used: it is newer than the one in use, or none is in
+            use. The numbers of different starts are not compared: the list that the configuration of this
+            start contains takes precedence over those of earlier starts.
         """
         self._writable = result.state is not None
         state = result.state or DurableState()
         if result.locked_by_other_process or state.shut_down_cleanly:
             self.planned_restart = True
-        is_newer = state.list_seq > list_seq
+        is_same_start = state.list_origin == self.state.list_origin
+        is_used = state.list_seq > list_seq if is_same_start else not self.state.endpoints
         for record in self.state.checkpoint():
-            if not (is_newer and isinstance(record, EndpointListRecord)):
+            if not (is_used and isinstance(record, EndpointListRecord)):
                 state.apply(record)
+        if not is_same_start and is_used:
+            state.list_seq = 0
+            state.list_origin = self.state.list_origin
         self.state = state
         self.restored = True
         log.warning(
@@ -85,7 +91,7 @@
             loads=len(state.started_loads),
             planned_restart=self.planned_restart,
         )
-        return is_newer
+        return is_used
 
     def write_checkpoint_if_needed(self) -> None:
         """Write a checkpoint of the whole state if the writer needs one."""
--- a/lilacfront/recovery/records.py
+++ b/lilacfront/recovery/records.py
@@ -14,6 +14,7 @@
 from lilacfront.operations.state_record import LearnedClass, OperatorDirective
 
 FORMAT_VERSION: Final = 1
+_LIST_TAG: Final = "list"
 
 
 class EndpointEntry(msgspec.Struct, frozen=True, array_like=True):
@@ -69,12 +70,17 @@
     generation: int
 
 
-class EndpointListRecord(Record, frozen=True, tag="list"):
-    """Entries of the endpoint list as of event `seq`; a snapshot replaces all earlier entries."""
+class EndpointListRecord(Record, frozen=True, tag=_LIST_TAG):
+    """Entries of the endpoint list as of event `seq`; a snapshot replaces all earlier entries.
+
+    `origin` identifies the start that `seq` is counted from; see `CachedEvents.origin`. Older versions ignore
+    this field and don't write it.
+    """
 
     seq: int
     is_snapshot: bool
     entries: tuple[EndpointEntry, ...]
+    origin: str = ""
 
 
 class ChangeLogResetRecord(Record, frozen=True, tag="anew"):
@@ -144,6 +150,9 @@
 
 def encode_record(record: AnyRecord) -> bytes:
     """Encode a record, without a frame."""
+    if isinstance(record, EndpointListRecord) and not record.origin:
+        # As older versions write it, without the last field.
+        return _ENCODER.encode((_LIST_TAG, record.seq, record.is_snapshot, record.entries))
     return _ENCODER.encode(record)
 
 
--- a/lilacfront/server/recovery_wiring.py
+++ b/lilacfront/server/recovery_wiring.py
@@ -76,6 +76,7 @@
         server.dispatcher,
         config.seed,
         ServerRecoveryHost(server),
+        config.cached_events.origin,
     )
 
 
--- a/tests/recovery/test_journal_file.py
+++ b/tests/recovery/test_journal_file.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+import msgspec
 import pytest
 from recovery_helpers import directive, endpoint_entry
 
@@ -15,11 +16,13 @@
 )
 from lilacfront.recovery.records import (
     FORMAT_VERSION,
+    AnyRecord,
     DirectiveRecord,
     EndpointListRecord,
     IncarnationRecord,
     JournalHeader,
     LoadStartedRecord,
+    decode_record,
     encode_record,
 )
 
@@ -89,3 +92,19 @@
     first, second = encode_frame(b"one"), encode_frame(b"two")
     assert split_frames(first + second) == ([b"one", b"two"], len(first + second))
     assert split_frames(first + second[:-1] + b"!") == ([b"one"], len(first))
+
+
+class ListRecordOfOlderVersion(msgspec.Struct, array_like=True, tag_field="k", tag="list"):
+    """A list as it was read before its numbers had an origin."""
+
+    seq: int
+    is_snapshot: bool
+    entries: list[msgspec.Raw]
+
+
+def test_list_with_an_origin_is_read_by_this_version_and_older_ones() -> None:
+    record: AnyRecord = EndpointListRecord(3, True, (endpoint_entry(1),), "00c41f7a")
+    encoded = encode_record(record)
+    assert decode_record(encoded) == record
+    older = msgspec.msgpack.decode(encoded, type=ListRecordOfOlderVersion)
+    assert (older.seq, older.is_snapshot, len(older.entries)) == (3, True, 1)
