A rejection received from another server does not mean that a load never ran

Cause: the exception code alone made the attempt REJECTED.

Change: such an error ends the attempt as ERROR; a failure whose text has a rejection's code is told without it, as clients would repeat the load.

Measured: exchange clickhouse/busy_elsewhere, failed before (no answer to the load within the test), passes now; tests/frontends, upstream and load pass.

--- a/lilacfront/frontends/clickhouse_errors.py
+++ b/lilacfront/frontends/clickhouse_errors.py
@@ -23,6 +23,11 @@
     READONLY = 164
     TOO_MANY_SIMULTANEOUS_QUERIES = 202
     NETWORK_ERROR = 210
+    SERVER_OVERLOADED = 745
+
+
+# Clients take these for "never ran": they may send the request again.
+REJECTION_CODES = frozenset((ErrorCode.TOO_MANY_SIMULTANEOUS_QUERIES, ErrorCode.SERVER_OVERLOADED))
 
 
 class InvalidQueryError(LilacfrontError):
@@ -86,8 +91,10 @@
 
 
 def encode_failure(answer: Failed, keep_alive: bool) -> bytes:
-    """Return the answer to a failed request."""
+    """Return the answer to a failed request, with the engine's error unless it reads like a rejection."""
     if answer.is_deadline_exceeded:
         return encode_error(504, ErrorCode.TIMEOUT_EXCEEDED, b"No warehouse answered in time", keep_alive)
-    text = answer.detail if _CODE.match(answer.detail) else b"The request failed at its warehouse"
+    match = _CODE.match(answer.detail)
+    is_usable = match is not None and int(match[1]) not in REJECTION_CODES
+    text = answer.detail if is_usable else b"The request failed at its warehouse"
     return encode_error(500, ErrorCode.NETWORK_ERROR, text, keep_alive)
--- a/lilacfront/upstream/clickhouse_attempt.py
+++ b/lilacfront/upstream/clickhouse_attempt.py
@@ -13,7 +13,7 @@
 from lilacfront.logs import Log
 from lilacfront.protocols import http1
 from lilacfront.sched import Chunk, Interrupted, Stream, Task, Wait
-from lilacfront.upstream.clickhouse_exceptions import error_ending, exception_code
+from lilacfront.upstream.clickhouse_exceptions import error_ending, exception_code, is_forwarded_error
 
 log = Log(__name__)
 MAX_ERROR_TEXT_BYTES = 64 << 10
@@ -153,7 +153,7 @@
         """
         text = self._error_text[:MAX_ERROR_TEXT_BYTES]
         code = exception_code(head, text)
-        ending = error_ending(head.status, code)
+        ending = error_ending(head.status, code, is_forwarded_error(text))
         log.debug(
             "error response received",
             engine=self._engine.address,
--- a/lilacfront/upstream/clickhouse_exceptions.py
+++ b/lilacfront/upstream/clickhouse_exceptions.py
@@ -16,6 +16,7 @@
 MAX_CODE_DIGITS = 5
 CODE_EXCERPT_BYTES = 200  # start of an error text that is searched for the code
 _CODE = re.compile(rb"Code: (\d{1,5})\b")
+_FORWARDED_MARK = b"Received from "  # precedes the address of the server that an error comes from
 
 
 class RejectionCode(IntEnum):
@@ -95,7 +96,12 @@
     return int(match[1]) if match is not None else None
 
 
-def error_ending(status: int, code: int | None) -> AttemptEnding:
+def is_forwarded_error(text: bytes) -> bool:
+    """Whether an error text comes from another server, which ran a part of the statement for the engine."""
+    return _FORWARDED_MARK in text
+
+
+def error_ending(status: int, code: int | None, is_forwarded: bool = False) -> AttemptEnding:
     """Return how an attempt ends that an engine answers with an error.
 
     An unknown code with a server's status counts as an error of the engine, so that an engine with a fault
@@ -104,12 +110,14 @@
     Args:
         status: HTTP status of the response.
         code: Exception code of the response; None if it has none.
+        is_forwarded: Whether another server reported the error. If that one has rejected its part, the
+            engine may have run others.
 
     Returns:
         REJECTED, ERROR or STATEMENT_ERROR.
     """
     if code in REJECTION_CODES:
-        return AttemptEnding.REJECTED
+        return AttemptEnding.ERROR if is_forwarded else AttemptEnding.REJECTED
     if code in ENGINE_ERROR_CODES:
         return AttemptEnding.ERROR
     is_client_error = status < MIN_SERVER_ERROR_STATUS or status == STATUS_NOT_IMPLEMENTED
