Large loads share no memory limit with answers, and don't cut them or each other

Cause: Loop.add_queued_bytes counted answers and requests to warehouses against one limit, and closed the longest queue among the streams that were waiting already, so never that of the newcomer.

Change: SendBudget (out of loop.py) is shared by the streams of clients, and another one by those to warehouses. The latter admits the bodies that the gateway file admits beside an eighth of the memory; what doesn't fit is NOT_SENT.

--- a/lilacfront/core/model.py
+++ b/lilacfront/core/model.py
@@ -8,7 +8,7 @@
 from typing import Protocol
 
 from lilacfront.decisions.events import LoadReport, NotificationKind
-from lilacfront.sched import Task
+from lilacfront.sched import SendBudget, Task
 
 
 class DeliveryStage(IntEnum):
@@ -40,7 +40,9 @@
     CONNECTION_LOST = "connection lost"  # also used if the response can't be parsed
     TIMED_OUT = "timed out"
     CANCELLED = "cancelled"  # by the router or by the client
-    NOT_SENT = "not sent"  # the engine left the endpoint list or the deadline passed before the first byte
+    # The engine left the endpoint list, the deadline passed, or this process had no resources left before the
+    # first byte.
+    NOT_SENT = "not sent"
 
 
 @dataclass(slots=True, frozen=True)
@@ -216,9 +218,12 @@
 
     Attributes:
         max_connections: Maximum number of connections open at once.
+        send_budget: Limits the bytes queued for all engines together. It is not that of the clients, so that
+            large requests don't use up the memory for answers.
     """
 
     max_connections: int
+    send_budget: SendBudget
 
     def attempt(
         self,
--- a/lilacfront/sched/__init__.py
+++ b/lilacfront/sched/__init__.py
@@ -3,6 +3,7 @@
 from lilacfront.sched.chunk import Chunk
 from lilacfront.sched.lingering import RejectedInput
 from lilacfront.sched.loop import Interrupted, Loop, Task, TimedOut, Wait
+from lilacfront.sched.send_budget import SendBudget
 from lilacfront.sched.stream import ConnectFailure, Stream
 
 __all__ = [
@@ -11,6 +12,7 @@
     "Interrupted",
     "Loop",
     "RejectedInput",
+    "SendBudget",
     "Stream",
     "Task",
     "TimedOut",
--- a/lilacfront/sched/loop.py
+++ b/lilacfront/sched/loop.py
@@ -17,11 +17,12 @@
 from collections.abc import Callable
 from enum import Enum
 from itertools import count
-from typing import Any, Final, Protocol
+from typing import Any, Final
 
 import greenlet
 
 from lilacfront.logs import Log
+from lilacfront.sched.send_budget import SendBudget
 
 log = Log(__name__)
 # Timers of ended waits stay in the heap. It is rebuilt without them when they outnumber the active timers by
@@ -31,9 +32,6 @@
 MAX_POLL_S = 1.0
 # The default limit of the bytes queued on all streams together.
 MAX_QUEUED_BYTES = 32 << 20
-# Above the limit times this factor, streams with final answers are closed, too: the process would be killed
-# and lose them all.
-HARD_LIMIT_FACTOR = 4
 WAKEUP_READ_BYTES = 4096
 
 
@@ -98,21 +96,6 @@
         self._greenlet.switch(value)
 
 
-class Writer(Protocol):
-    """A stream with queued bytes that the kernel has not accepted yet."""
-
-    @property
-    def queued_bytes(self) -> int:
-        """The number of those bytes."""
-
-    @property
-    def holds_final_answer(self) -> bool:
-        """Whether a final answer is queued that is not sent in full."""
-
-    def close(self) -> None:
-        """Close the connection immediately."""
-
-
 class Loop:
     """An event loop that runs tasks, timers and descriptor callbacks until it is stopped.
 
@@ -123,10 +106,7 @@
         now: The time of the current turn, in seconds.
         ready: The tasks to run next, each with the return value of its wait.
         pending_flushes: The flushes to call at the end of this turn, in the order of insertion.
-        unflushed_streams: The streams that wait until the kernel accepts more of their queued bytes.
-        queued_bytes: The number of bytes that are queued on all streams together.
-        max_queued_bytes: The limit of `queued_bytes`. Above it, the unflushed stream with the longest queue
-            and without a final answer is closed.
+        send_budget: Limits the bytes queued on all streams that have no other budget.
         stopping: Whether the loop ends after this turn.
         wakeup_socket: A byte that any thread writes to this socket wakes the loop.
     """
@@ -147,9 +127,7 @@
         self.now = self._clock()
         self.ready: deque[tuple[Task, object]] = deque()
         self.pending_flushes: dict[Callable[[], None], None] = {}
-        self.unflushed_streams: set[Writer] = set()
-        self.queued_bytes = 0
-        self.max_queued_bytes = MAX_QUEUED_BYTES
+        self.send_budget = SendBudget(MAX_QUEUED_BYTES)
         self._poll = select.poll()
         self._watched: dict[int, Callable[[int], None]] = {}
         # A heap of times and tickets; a ticket whose wait has ended has no entry in `_timer_targets`.
@@ -243,25 +221,6 @@
         if self._watched.pop(fd, None) is not None:
             self._poll.unregister(fd)
 
-    def add_queued_bytes(self, size: int) -> None:
-        """Add to the count of queued bytes; `size` is negative when bytes have left the queue of a stream.
-
-        Above the limit, the unflushed stream with the longest queue and without a final answer is closed.
-        Above the limit times `HARD_LIMIT_FACTOR`, it may hold a final answer.
-        """
-        self.queued_bytes += size
-        if size <= 0 or self.queued_bytes <= self.max_queued_bytes:
-            return
-        # Otherwise many peers that do not read could use up the memory, although each of them stays within
-        # the limit of its own stream. The final answers are limited where they are made
-        # (`Stream.has_answer_capacity`).
-        is_last_resort = self.queued_bytes > HARD_LIMIT_FACTOR * self.max_queued_bytes
-        droppable = [
-            stream for stream in self.unflushed_streams if is_last_resort or not stream.holds_final_answer
-        ]
-        if droppable:
-            max(droppable, key=lambda stream: stream.queued_bytes).close()
-
     def stop(self) -> None:
         """Let `run` return after this turn."""
         self.stopping = True
--- a/lilacfront/sched/send_queue.py
+++ b/lilacfront/sched/send_queue.py
@@ -7,13 +7,14 @@
 
 from lilacfront.sched.chunk import Chunk
 from lilacfront.sched.loop import Loop
+from lilacfront.sched.send_budget import SendBudget
 
 # The most chunks that one system call sends.
 MAX_GATHERED_CHUNKS = 64
 
 
 class SendQueue:
-    """A queue of chunks, whose size counts towards the bytes that are queued on all streams of the loop.
+    """A queue of chunks, whose size counts towards a budget that several streams share.
 
     Attributes:
         size_bytes: The size of the chunks in the queue. A chunk counts in full until the kernel has accepted
@@ -21,8 +22,9 @@
         progress_at: Time at which the kernel last accepted bytes, or the queue was last empty before a write.
     """
 
-    def __init__(self, loop: Loop) -> None:
+    def __init__(self, loop: Loop, budget: SendBudget) -> None:
         self._loop = loop
+        self._budget = budget
         self._chunks: deque[Chunk] = deque()
         self._final_chunks = 0
         self.size_bytes = 0
@@ -38,13 +40,13 @@
         return self._final_chunks > 0
 
     def append(self, chunk: Chunk) -> None:
-        """Queue a chunk. The loop may close streams that have no final answer queued, also this one."""
+        """Queue a chunk. The budget may close streams that have no final answer queued, also this one."""
         if not self._chunks:
             self.progress_at = self._loop.now
         self._chunks.append(chunk)
         self._final_chunks += chunk.is_final
         self.size_bytes += len(chunk.data)
-        self._loop.add_queued_bytes(len(chunk.data))
+        self._budget.add(len(chunk.data))
 
     def send(self, sock: socket.socket) -> None:
         """Send as many bytes as the kernel accepts now.
@@ -83,7 +85,7 @@
         chunk = self._chunks.popleft()
         self._final_chunks -= chunk.is_final
         self.size_bytes -= len(chunk.data)
-        self._loop.add_queued_bytes(-len(chunk.data))
+        self._budget.remove(len(chunk.data))
 
     def clear(self) -> None:
         """Drop all chunks."""
--- a/lilacfront/sched/stream.py
+++ b/lilacfront/sched/stream.py
@@ -21,6 +21,7 @@
 from lilacfront.sched.chunk import Chunk
 from lilacfront.sched.lingering import Lingering, RejectedInput, unacknowledged_bytes
 from lilacfront.sched.loop import Loop, Task, Wait
+from lilacfront.sched.send_budget import SendBudget
 from lilacfront.sched.send_queue import SendQueue
 
 READ_BYTES = 65536
@@ -62,7 +63,17 @@
         on_close: Called when the descriptor has been closed.
     """
 
-    def __init__(self, loop: Loop, sock: socket.socket, max_queued_bytes: int) -> None:
+    def __init__(
+        self, loop: Loop, sock: socket.socket, max_queued_bytes: int, budget: SendBudget | None = None
+    ) -> None:
+        """Take over a socket.
+
+        Args:
+            loop: The loop that watches the socket.
+            sock: The socket, connected or connecting.
+            max_queued_bytes: The limit of the bytes queued on the stream.
+            budget: Limits the bytes queued on several streams; by default that of the loop.
+        """
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.loop = loop
@@ -73,7 +84,8 @@
         self.on_half_close: Callable[[], None] = lambda: None
         self.on_close: Callable[[], None] = lambda: None
         self._is_released = False
-        self._queue = SendQueue(loop)
+        self._budget = loop.send_budget if budget is None else budget
+        self._queue = SendQueue(loop, self._budget)
         self._reader: Task | None = None
         self._connector: Task | None = None
         # The task that waits until `queued_bytes` is at most `_queue_target`.
@@ -88,7 +100,13 @@
 
     @classmethod
     def connect(
-        cls, loop: Loop, task: Task, address: tuple[str, int], until: float, max_queued_bytes: int
+        cls,
+        loop: Loop,
+        task: Task,
+        address: tuple[str, int],
+        until: float,
+        max_queued_bytes: int,
+        budget: SendBudget | None = None,
     ) -> Stream | ConnectFailure:
         """Connect to an address.
 
@@ -101,6 +119,7 @@
             address: The peer's host and port.
             until: The deadline, in seconds.
             max_queued_bytes: The limit of the bytes queued on the stream.
+            budget: Limits the bytes queued on several streams; by default that of the loop.
 
         Returns:
             The connected stream, or the reason for the failure.
@@ -109,7 +128,7 @@
             sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         except OSError:
             return ConnectFailure.NO_DESCRIPTOR
-        stream = cls(loop, sock, max_queued_bytes)
+        stream = cls(loop, sock, max_queued_bytes, budget)
         code = sock.connect_ex(address)
         if code == errno.EINPROGRESS:
             stream._connector = task
@@ -252,10 +271,7 @@
         if not self._awaits_writable or size <= SHORT_ANSWER_BYTES:
             return True
         stream_limit = self.max_queued_bytes - RESERVED_ANSWER_BYTES
-        return (
-            self.queued_bytes + size <= stream_limit
-            and self.loop.queued_bytes + size <= self.loop.max_queued_bytes
-        )
+        return self.queued_bytes + size <= stream_limit and self._budget.has_capacity(size)
 
     def write(
         self,
@@ -328,9 +344,9 @@
             return
         self._awaits_writable = has_queue
         if has_queue:
-            self.loop.unflushed_streams.add(self)
+            self._budget.unflushed_streams.add(self)
         else:
-            self.loop.unflushed_streams.discard(self)
+            self._budget.unflushed_streams.discard(self)
         self._update_watch()
         if has_queue:
             self._check_stall()
@@ -420,7 +436,7 @@
             self.loop.unwatch(self.sock.fileno())
         self.closed = True
         self._is_released = True
-        self.loop.unflushed_streams.discard(self)
+        self._budget.unflushed_streams.discard(self)
         self._queue.clear()
         self.sock.close()
         self._wake_tasks()
--- a/lilacfront/server/builders.py
+++ b/lilacfront/server/builders.py
@@ -28,26 +28,33 @@
         max_client_connections: Maximum number of connections of one listener. All listeners together get half
             of the descriptors: a third for clients that are served, and the rest for clients to be rejected.
         memory_bytes: Memory that the process may use.
-        max_queued_bytes: Maximum size of the outgoing data queued on all connections together, an eighth of
-            the memory.
+        max_queued_bytes: Maximum size of the answers queued for all clients together, an eighth of the
+            memory.
+        max_upstream_queued_bytes: Maximum size of the requests queued for all engines together. Bodies of
+            HTTP clients are in memory already, so all of them fit beside another eighth of the memory.
     """
 
     max_upstream_connections: int
     max_client_connections: int
     memory_bytes: int
     max_queued_bytes: int
+    max_upstream_queued_bytes: int
 
     @classmethod
     def for_process(cls, config: Config, process_count: int = 1) -> ProcessLimits:
         """Return the limits of one of `process_count` processes."""
-        listeners = 1 if config.gateway.clickhouse is None else 2
+        clickhouse = config.gateway.clickhouse
+        listeners = 1 if clickhouse is None else 2
+        max_bodies_bytes = 0 if clickhouse is None else clickhouse.max_bodies_bytes
+        max_queued_bytes = config.memory_bytes // QUEUED_BYTES_DIVISOR // process_count
         all_client_connections = max(2, config.max_descriptors // CLIENT_DESCRIPTORS_DIVISOR) // listeners
         all_upstream_connections = config.max_descriptors // UPSTREAM_DESCRIPTORS_DIVISOR
         return cls(
             max_upstream_connections=max(1, all_upstream_connections // process_count),
             max_client_connections=max(1, all_client_connections // process_count),
             memory_bytes=config.memory_bytes // process_count,
-            max_queued_bytes=config.memory_bytes // QUEUED_BYTES_DIVISOR // process_count,
+            max_queued_bytes=max_queued_bytes,
+            max_upstream_queued_bytes=max_queued_bytes + max_bodies_bytes,
         )
 
 
--- a/lilacfront/server/graceful_shutdown.py
+++ b/lilacfront/server/graceful_shutdown.py
@@ -78,7 +78,8 @@
         server = self._server
         return bool(
             server.dispatcher.in_flight_count
-            or server.loop.unflushed_streams
+            or server.loop.send_budget.unflushed_streams
+            or server.upstream.send_budget.unflushed_streams
             or server.clients.have_connections
             or server.platform_frontend.transfers.is_pending
         )
--- a/lilacfront/server/server.py
+++ b/lilacfront/server/server.py
@@ -68,8 +68,8 @@
         """
         self.config = config
         self.loop = loop or Loop()
-        self.loop.max_queued_bytes = ProcessLimits.for_process(config).max_queued_bytes
         self.upstream = build_upstream(config, self.loop)
+        self._limit_queued_bytes(ProcessLimits.for_process(config))
         self.dispatcher = build_dispatcher(config, self.loop, self.upstream)
         self.endpoint_feed = EndpointFeed(config, self.dispatcher)
         self.shutdown = GracefulShutdown(self)
@@ -117,9 +117,13 @@
         limits = ProcessLimits.for_process(self.config, process_count)
         self.upstream.max_connections = limits.max_upstream_connections
         self.platform_frontend.set_memory(limits.memory_bytes)
-        self.loop.max_queued_bytes = limits.max_queued_bytes
+        self._limit_queued_bytes(limits)
         self.clients.set_max_connections(limits.max_client_connections)
 
+    def _limit_queued_bytes(self, limits: ProcessLimits) -> None:
+        self.loop.send_budget.max_bytes = limits.max_queued_bytes
+        self.upstream.send_budget.max_bytes = limits.max_upstream_queued_bytes
+
     def set_drain(self, drain: Drain | None) -> None:
         """Close client connections by the rules of `drain`; with None, keep them open.
 
--- a/lilacfront/upstream/clickhouse.py
+++ b/lilacfront/upstream/clickhouse.py
@@ -16,7 +16,7 @@
     ResponseSink,
 )
 from lilacfront.protocols import http1
-from lilacfront.sched import ConnectFailure, Loop, Stream, Task
+from lilacfront.sched import ConnectFailure, Loop, SendBudget, Stream, Task
 from lilacfront.upstream.clickhouse_attempt import ClickHouseAttempt
 
 # Idle connections are closed at this fraction of the engine's idle timeout, so that no request is sent at the
@@ -47,6 +47,7 @@
 
     Attributes:
         max_connections: Maximum number of open connections to all engines together.
+        send_budget: Limits the bytes queued for all engines together.
     """
 
     def __init__(
@@ -54,6 +55,7 @@
     ) -> None:
         self.loop = loop
         self.max_connections = max_connections
+        self.send_budget = SendBudget(MAX_QUEUED_BYTES)
         self._connect_timeout_s = connect_timeout_s
         self._stall_timeout_s = stall_timeout_s
         self._idle: dict[EngineAddress, list[_IdleConnection]] = {}
@@ -78,6 +80,8 @@
         context: AttemptContext,
     ) -> AttemptOutcome:
         """Make one attempt; see `core.model.Upstream`."""
+        if not self.send_budget.has_capacity(len(request.body)):
+            return AttemptOutcome(AttemptEnding.NOT_SENT, DeliveryStage.NOT_CONNECTED)
         # Without a query id of its own, a response can't be told from one to an earlier request.
         idle = self._pop_idle(assignment.engine, request.query_id) if request.query_id else None
         stream = idle or self._connect(task, assignment)
@@ -114,6 +118,7 @@
             assignment.engine.address,
             min(connect_deadline, assignment.deadline),
             MAX_QUEUED_BYTES,
+            self.send_budget,
         )
         if isinstance(connected, Stream):
             return connected
--- a/lilacfront/upstream/resp.py
+++ b/lilacfront/upstream/resp.py
@@ -13,7 +13,7 @@
     ResponseSink,
 )
 from lilacfront.protocols import resp
-from lilacfront.sched import ConnectFailure, Interrupted, Loop, Task
+from lilacfront.sched import ConnectFailure, Interrupted, Loop, SendBudget, Task
 from lilacfront.upstream.resp_attempt import RespAttempt
 from lilacfront.upstream.resp_connection import RespConnection
 
@@ -22,6 +22,7 @@
 # Idle connections are closed at this fraction of the engines' idle timeout, so that no request is sent at the
 # moment when the engine closes the connection.
 IDLE_TIMEOUT_FRACTION = 0.8
+MAX_QUEUED_BYTES = 32 << 20  # the default limit for all engines together
 
 
 class RespUpstream:
@@ -30,6 +31,7 @@
     Attributes:
         class_names: Names of the request classes at the engines, by class index.
         max_connections: Maximum number of open connections to all engines together.
+        send_budget: Limits the bytes queued for all engines together.
         max_connections_per_engine: Number of connections from this gateway to one engine up to which each
             attempt gets its own connection, since a reset ends all attempts on a connection. Beyond it a
             connection is opened only if no open one can take the attempt. It is a share of
@@ -49,6 +51,7 @@
         self.loop = loop
         self.class_names = class_names
         self.max_connections = max_connections
+        self.send_budget = SendBudget(MAX_QUEUED_BYTES)
         self.max_connections_per_engine = max(
             1, min(MAX_OWN_CONNECTIONS_PER_ENGINE, MAX_CONNECTIONS_PER_ENGINE // gateway_count)
         )
@@ -75,7 +78,8 @@
         context: AttemptContext,
     ) -> AttemptOutcome:
         """Make one attempt; see `core.model.Upstream`."""
-        connection = self._acquire(assignment.engine, request.call_id)
+        has_capacity = self.send_budget.has_capacity(len(request.body))
+        connection = self._acquire(assignment.engine, request.call_id) if has_capacity else None
         if connection is None:
             return AttemptOutcome(AttemptEnding.NOT_SENT, DeliveryStage.NOT_CONNECTED)
         failure = self._wait_until_ready(task, connection, assignment.deadline)
@@ -166,7 +170,12 @@
 
     def _open(self, engine: EngineAddress) -> RespConnection:
         connection = RespConnection(
-            self.loop, engine, self._connect_timeout_s, self._idle_timeout_s, self._connection_closed
+            self.loop,
+            engine,
+            self._connect_timeout_s,
+            self._idle_timeout_s,
+            self.send_budget,
+            self._connection_closed,
         )
         self._pools.setdefault(engine.number, []).append(connection)
         self._connection_count += 1
--- a/lilacfront/upstream/resp_connection.py
+++ b/lilacfront/upstream/resp_connection.py
@@ -9,7 +9,7 @@
 from lilacfront.core.model import AttemptContext, EngineAddress
 from lilacfront.logs import Log
 from lilacfront.protocols import resp
-from lilacfront.sched import Chunk, ConnectFailure, Loop, Stream, Task, Wait
+from lilacfront.sched import Chunk, ConnectFailure, Loop, SendBudget, Stream, Task, Wait
 from lilacfront.sched.channel import Channel, OneTimeEvent
 from lilacfront.upstream.resp_messages import (
     MAX_PAGE_BYTES,
@@ -73,6 +73,7 @@
         engine: EngineAddress,
         connect_timeout_s: float,
         idle_timeout_s: float,
+        send_budget: SendBudget,
         on_close: Callable[[RespConnection], None],
     ) -> None:
         self.loop = loop
@@ -87,6 +88,7 @@
         self.waiting_attempts = 0
         self.idle_since = loop.now
         self._idle_timeout_s = idle_timeout_s
+        self._send_budget = send_budget
         self._on_close = on_close
         self._parser = resp.Parser((WORDS_PER_ANSWER, WORDS_PER_ANSWER), MAX_PAGE_BYTES)
         self._answer_deadline = 0.0  # for the rest of a partly received answer; 0: there is none
@@ -185,7 +187,12 @@
     def _connect(self, task: Task, timeout_s: float) -> Stream | None:
         began = self.loop.now
         connected = Stream.connect(
-            self.loop, task, self.engine.address, self.loop.now + timeout_s, MAX_QUEUED_BYTES
+            self.loop,
+            task,
+            self.engine.address,
+            self.loop.now + timeout_s,
+            MAX_QUEUED_BYTES,
+            self._send_budget,
         )
         log.debug(
             "connection",
--- a/tests/core/test_pinned_dispatcher.py
+++ b/tests/core/test_pinned_dispatcher.py
@@ -42,7 +42,7 @@
     NotificationKind,
 )
 from lilacfront.decisions.settings import PolicyLimits
-from lilacfront.sched import Task
+from lilacfront.sched import SendBudget, Task
 from lilacfront.teams.cost_model import CostModel
 from lilacfront.teams.scheduler import TeamScheduler
 
@@ -104,6 +104,7 @@
     """Generates requests, engine responses, client disconnects and endpoint lists from one seed."""
 
     max_connections = 100
+    send_budget = SendBudget(1 << 20)
 
     def __init__(self, manual_loop: ManualLoop, seed: int, with_teams: bool, with_policy: bool) -> None:
         self.manual_loop = manual_loop
--- a/tests/crossing_harness.py
+++ b/tests/crossing_harness.py
@@ -31,6 +31,7 @@
 AFTER_DISCONNECT_S = 0.11
 SHUTDOWN_STEP_S = 0.01
 MAX_SHUTDOWN_STEPS = 500
+BUFFER_BYTES = 4096  # of the sockets of a client that reads slowly
 
 
 class Disconnect(StrEnum):
@@ -233,6 +234,20 @@
         actor.use_connection(connection)
 
 
+def connect_reader(harness: Harness, name: str) -> Actor:
+    """Connect a client with small buffers on both sides."""
+    connection = socket.socket()
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER_BYTES)
+    listener = harness.server.listeners[harness.dialect.listener_index]
+    connection.connect(listener.address)
+    harness.turn()
+    slot = list(listener.slots)[-1]
+    slot.stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, BUFFER_BYTES)
+    harness.actors[name] = Actor(False)
+    harness.actors[name].use_connection(connection)
+    return harness.actors[name]
+
+
 class SocketWithShutdownHook:
     """A socket that calls a hook before each `shutdown`, so that a test can send bytes at that moment."""
 
--- a/tests/crossings/test_slow_readers.py
+++ b/tests/crossings/test_slow_readers.py
@@ -3,11 +3,18 @@
 from __future__ import annotations
 
 import re
-import socket
 from collections.abc import Callable
 
 import pytest
-from crossing_harness import PATHS, STATEMENT, WAREHOUSES, pause_reading, resume_reading, running_harness
+from crossing_harness import (
+    PATHS,
+    STATEMENT,
+    WAREHOUSES,
+    connect_reader,
+    pause_reading,
+    resume_reading,
+    running_harness,
+)
 from play import SETTINGS, Actor, Dialect, Harness, Http, ThriftResp
 from play.thrift_resp import encode_resp
 
@@ -20,7 +27,6 @@
 REQUEST_COUNT = 8  # of each client
 ROWS = ("x" * 100,) * 400
 ROW_OF_A_PAGE = b"\t".join([b"x" * 1800] * 3) + b"\n"  # a page holds up to 6,000 bytes
-BUFFER_BYTES = 4096
 
 
 def long_answers(dialect: Dialect) -> Callable[[bytes], bytes]:
@@ -49,20 +55,6 @@
     return thrift.encode_invoke(request + 1, fields, STATEMENT.encode())
 
 
-def connect_reader(harness: Harness, name: str) -> Actor:
-    """Connect a client with small buffers on both sides."""
-    connection = socket.socket()
-    connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER_BYTES)
-    listener = harness.server.listeners[harness.dialect.listener_index]
-    connection.connect(listener.address)
-    harness.turn()
-    slot = list(listener.slots)[-1]
-    slot.stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, BUFFER_BYTES)
-    harness.actors[name] = Actor(False)
-    harness.actors[name].use_connection(connection)
-    return harness.actors[name]
-
-
 def answer_count(harness: Harness, reader: Actor) -> int:
     return reader.received.count(b"HTTP/1.1 " if isinstance(harness.dialect, Http) else b"\x06invoke")
 
@@ -89,7 +81,7 @@
             for number, connection in enumerate(unread):
                 connection.sendall(encode_request(harness.dialect, number, request))
             harness.wait(0.05)
-        queued_bytes = harness.server.loop.queued_bytes
+        queued_bytes = harness.server.loop.send_budget.queued_bytes
         resume_reading(readers, unread)
         harness.until(
             lambda: all(answer_count(harness, reader) == REQUEST_COUNT for reader in readers),
@@ -117,7 +109,7 @@
         for request in range(3 if isinstance(harness.dialect, ThriftResp) else 1):
             unread[0].sendall(encode_request(harness.dialect, 0, request, "report", 20_000))
             harness.wait(0.05)
-        assert harness.server.loop.queued_bytes
+        assert harness.server.loop.send_budget.queued_bytes
         if is_shutdown:
             harness.server.begin_shutdown()
         harness.wait(pause_s)
@@ -138,7 +130,7 @@
         for request in range(3 if isinstance(harness.dialect, ThriftResp) else 1):
             unread[0].sendall(encode_request(harness.dialect, 0, request, "report", 20_000))
             harness.wait(0.05)
-        assert harness.server.loop.queued_bytes
+        assert harness.server.loop.send_budget.queued_bytes
         harness.wait(20.1)
-        assert not harness.server.loop.queued_bytes
+        assert not harness.server.loop.send_budget.queued_bytes
         resume_reading([reader], unread)
--- a/tests/operations/test_service.py
+++ b/tests/operations/test_service.py
@@ -129,7 +129,8 @@
             return (
                 listener.max_connections,
                 server.upstream.max_connections,
-                server.loop.max_queued_bytes,
+                server.loop.send_budget.max_bytes,
+                server.upstream.send_budget.max_bytes,
                 server.platform_frontend.partial_messages.max_bytes,
             )
 
--- a/tests/sched/test_stream.py
+++ b/tests/sched/test_stream.py
@@ -16,10 +16,10 @@
     stream.write(b"x" * (32 << 20))
     manual_loop.run_for(4.5)
     assert not stream.closed
-    assert loop.unflushed_streams == {stream}
+    assert loop.send_budget.unflushed_streams == {stream}
     manual_loop.run_for(1)
     assert stream.closed
-    assert not loop.unflushed_streams
+    assert not loop.send_budget.unflushed_streams
     peer.close()
 
 
@@ -61,7 +61,7 @@
 ) -> None:
     loop = manual_loop.loop
     pairs = [manual_loop.connected_stream(8 << 20) for _ in range(3)]
-    loop.max_queued_bytes = 6 << 20
+    loop.send_budget.max_bytes = 6 << 20
     for n, (stream, _) in enumerate(pairs):
         # The queue must not depend on the system's default buffer size.
         stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
@@ -69,9 +69,9 @@
         loop.turn(0)
     still_open = [stream for stream, _ in pairs if not stream.closed]
     assert len(still_open) == 1
-    assert loop.queued_bytes == still_open[0].queued_bytes <= loop.max_queued_bytes
+    assert loop.send_budget.queued_bytes == still_open[0].queued_bytes <= loop.send_budget.max_bytes
     still_open[0].close()
-    assert loop.queued_bytes == 0
+    assert loop.send_budget.queued_bytes == 0
 
 
 def test_stream_with_a_final_answer_is_not_closed_above_the_queue_limit_of_the_loop(
@@ -79,7 +79,7 @@
 ) -> None:
     """Guards against final answers that are dropped to save memory."""
     loop = manual_loop.loop
-    loop.max_queued_bytes = 6 << 20
+    loop.send_budget.max_bytes = 6 << 20
     pairs = [manual_loop.connected_stream(8 << 20) for _ in range(3)]
     for stream, _ in pairs:
         stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
@@ -98,13 +98,13 @@
     assert not last.closed
     for stream, _ in pairs:
         stream.close()
-    assert loop.queued_bytes == 0
+    assert loop.send_budget.queued_bytes == 0
 
 
 def test_final_answers_are_dropped_above_the_hard_limit_of_the_loop(manual_loop: ManualLoop) -> None:
     """Guards against clients that send without reading until the process is killed."""
     loop = manual_loop.loop
-    loop.max_queued_bytes = 1 << 20
+    loop.send_budget.max_bytes = 1 << 20
     pairs = [manual_loop.connected_stream(8 << 20) for _ in range(2)]
     for stream, _ in pairs:
         stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
@@ -148,9 +148,9 @@
     stream.close()
     assert chunk.withdraw()
     other.write(bytes(500))
-    assert manual_loop.loop.queued_bytes == 500
+    assert manual_loop.loop.send_budget.queued_bytes == 500
     stream.flush()
-    assert manual_loop.loop.queued_bytes == 500
+    assert manual_loop.loop.send_budget.queued_bytes == 500
     other.close()
     peer.close()
     other_peer.close()
