Dead connections don't displace the one on which a late answer is on its way

Cause: beyond four connections HedgedSource replaced the newest every 1.8 s; with dead older ones it was the only one that could be heard, and was closed first.

Change: beyond the limit the second oldest is closed. The oldest waits up to 15 s, each other at least (limit - 1) x silence: 7.2 s (log, five), 9 s (etcd, four), longer than a change may take. Only the first connect is hedged after connect_s.

Measured: test_source_that_is_late_after_an_outage_without_an_end_is_heard, 11 of 42 cases failed before (40 lookups at the draining warehouse each), all pass now; tests/discovery and the exchanges pass, the bounds on the number and rate of connections unchanged.

--- a/lilacfront/discovery/change_log.py
+++ b/lilacfront/discovery/change_log.py
@@ -21,7 +21,7 @@
 
 log = Log(__name__)
 # The log sends a whole line every second. Events may arrive up to 7 s late.
-HEDGING_LIMITS = HedgingLimits(connect_s=0.5, silence_s=1.8, abandon_s=15.0, max_connections=4)
+HEDGING_LIMITS = HedgingLimits(connect_s=0.5, silence_s=1.8, abandon_s=15.0, max_connections=5)
 # Longest delay; the delay is drawn from half of it up to all of it so that the front ends of a fleet don't
 # reconnect in step. It doesn't increase exponentially: after an outage the log may report drains that must be
 # obeyed 0.5 s later.
--- a/lilacfront/discovery/hedged_source.py
+++ b/lilacfront/discovery/hedged_source.py
@@ -21,11 +21,13 @@
     """When connections are opened and given up; times in seconds.
 
     Attributes:
-        connect_s: Time after which another connection is tried beside one that is not established.
+        connect_s: Time after which another connection is tried beside one that is not established; after
+            the second one it is `silence_s`.
         silence_s: Time without a message after which another connection is opened.
         abandon_s: Time without a message after which a connection is closed.
-        max_connections: Maximum number of connections; beyond it the newest is replaced, so that the older
-            ones can be heard with a longer delay.
+        max_connections: Maximum number of connections, at least 2. Beyond it the second oldest is closed: the
+            oldest is kept for the longest delay, and each of the others for at least `max_connections` - 1
+            times `silence_s`.
     """
 
     connect_s: float
@@ -49,12 +51,6 @@
         self.heard_at = opened_at
         self.is_established = False
 
-    @property
-    def hedge_at(self) -> float:
-        """Time at which another connection is opened beside this one."""
-        limits = self._source.limits
-        return self.heard_at + (limits.silence_s if self.is_established else limits.connect_s)
-
     @property
     def abandon_at(self) -> float:
         """Time at which this connection is closed if it stays silent."""
@@ -139,7 +135,15 @@
         self._wake()
 
     def _next_open_at(self) -> float:
-        return max([self._retry_at, *(connection.hedge_at for connection in self._connections)])
+        if not self._connections:
+            return self._retry_at
+        heard_at = max(connection.heard_at for connection in self._connections)
+        return max(self._retry_at, heard_at + self._hedge_delay_s())
+
+    def _hedge_delay_s(self) -> float:
+        connecting = [connection for connection in self._connections if not connection.is_established]
+        is_first_attempt = connecting == self._connections[-1:]
+        return self.limits.connect_s if is_first_attempt else self.limits.silence_s
 
     def _next_check_at(self) -> float:
         return min([self._next_open_at(), *(connection.abandon_at for connection in self._connections)])
@@ -154,7 +158,7 @@
             silent_s = self._loop.now - min(connection.heard_at for connection in self._connections)
             log.info("source silent", silent_s=round(silent_s, 3), connections=len(self._connections))
         if len(self._connections) >= self.limits.max_connections:
-            self._connections.pop().end()
+            self._connections.pop(1).end()
         connection = SourceConnection(self, self._loop.now)
         self._connections.append(connection)
         connection.start(self._loop, self._run_connection)
--- a/tests/discovery/test_late_sources.py
+++ b/tests/discovery/test_late_sources.py
@@ -161,6 +161,28 @@
         assert not lookups.sent_to_draining()
 
 
+@pytest.mark.parametrize("kind", KINDS)
+@pytest.mark.parametrize("outage_s", [2.0, 6.0, 10.0, 14.0, 16.0, 20.0, 31.0])
+@pytest.mark.parametrize("delay_s", [0.5, 2.5, 4.0])
+def test_source_that_is_late_after_an_outage_without_an_end_is_heard(
+    kind: SourceKind, delay_s: float, outage_s: float
+) -> None:
+    """Guards against dead connections that take the place of the one on which the answer is on its way."""
+    with running_harness(kind.dialect) as harness:
+        source = kind.place(harness)
+        lookups = Lookups(harness)
+        lookups.send_for(QUIET_S)
+        source.silence_connections()
+        source.silences_new_connections = True
+        lookups.send_for(outage_s)
+        assert lookups.sent_to_draining()
+        source.silences_new_connections = False
+        source.delay_s = delay_s
+        source.drain()
+        lookups.send_for(TOLD_S + GRACE_S)
+        assert not lookups.sent_to_draining()
+
+
 @pytest.mark.parametrize("kind", KINDS)
 def test_silent_connections_are_bounded_in_number_and_rate(kind: SourceKind) -> None:
     """Guards against connections that pile up, or are opened in a loop, while the source says nothing."""
--- a/tests/late_source.py
+++ b/tests/late_source.py
@@ -108,6 +108,7 @@
     Attributes:
         delay_s: How late its bytes arrive that are sent from now on; requests arrive at once.
         connects: The number of connections that the front end has opened.
+        silences_new_connections: Whether connections that are opened from now on never get any bytes.
     """
 
     def __init__(self, harness: Harness, name: str, protocol: SourceProtocol, delay_s: float = 0.0) -> None:
@@ -118,6 +119,7 @@
         self.address = replaced.address
         self.delay_s = delay_s
         self.connects = 0
+        self.silences_new_connections = False
         self._clock: Clock = harness.clock
         self._protocol = protocol
         self._is_drained = False
@@ -130,6 +132,7 @@
     def _add(self, sock: socket.socket, received: bytes = b"") -> None:
         connection = _Connection(sock)
         connection.received = received
+        connection.is_silent = self.silences_new_connections
         self.connects += 1
         self._connections.append(connection)
 
