Clients that are far behind with their answers are not read until they catch up

Cause: short answers are queued whatever the limits, as a failure is no shorter, and nothing stopped the requests that they answer.

Change: Stream.is_backlogged: the part of the stream's limit for short answers is reached, or the common limit is exceeded and the stream has more than its share. Both fronts wait then before they read the next request. On the platform's protocol the requests in flight are answered as failed first, since their abort could not be read. The hard limit stays as a last resort. PlatformConnection's reading is parted in two.

--- a/lilacfront/frontends/clickhouse_reader.py
+++ b/lilacfront/frontends/clickhouse_reader.py
@@ -59,14 +59,17 @@
     def receive(self, task: Task) -> HttpRequest | None:
         """Wait for the next complete request; None if the connection ends or is idle for too long.
 
+        No request is read while the client is too far behind with its answers.
+
         Raises:
             http1.HttpError: The request can't be read; the connection has to be closed.
         """
         self._head = None
         self._body = bytearray()
+        self._slot.mark_idle(self._had_request)
+        self._stream.wait_while_backlogged(task)
         timeout_s = IDLE_TIMEOUT_S if self._had_request else HEAD_TIMEOUT_S
         self._deadline = self._loop.now + timeout_s
-        self._slot.mark_idle(self._had_request)
         while True:
             while self._parts:
                 request = self._handle(self._parts.pop(0))
--- a/lilacfront/frontends/platform_connection.py
+++ b/lilacfront/frontends/platform_connection.py
@@ -27,8 +27,8 @@
 class PlatformConnection:
     """A client connection from its first byte to its end; `run` is its task.
 
-    Reading never pauses, not even during a backoff. A close, a reset or an `abort` arrives after all other
-    bytes, and no attempt may begin for a client that has disconnected.
+    Reading does not pause while a request is in flight, not even during a backoff. A close, a reset or an
+    `abort` arrives after all other bytes, and no attempt may begin for a client that has disconnected.
     """
 
     def __init__(self, services: PlatformServices, slot: ClientSlot) -> None:
@@ -98,25 +98,41 @@
                 raise thrift.ThriftError("incomplete messages exceed the memory limit")
             if self._can_transfer() and self._transfer():
                 return
-            self._resume_deferred()
-            data = self._stream.read(
-                task, self._deferred.resume_at if self._deferred else self._read_deadline
-            )
-            if task.interrupted:
-                task.clear_interruption()
-                if self._exceeds_memory_limit or not isinstance(data, bytes):
-                    continue
-            if data is Wait.TIMED_OUT and self._deferred:
-                continue
-            self._slot.last_byte_at = self._loop.now
-            if data == b"":
-                self._has_client_closed = self._has_client_closed or not self._stream.closed
-                return
-            if isinstance(data, bytes):
-                self._receive(data)
-            elif self._is_idle_at_timeout():
+            if self._stream.is_backlogged:
+                self._await_reader(task)
+            elif not self._read_once(task):
                 return
 
+    def _read_once(self, task: Task) -> bool:
+        """Wait for bytes and handle them; returns False if the connection has ended or has to be closed."""
+        self._resume_deferred()
+        data = self._stream.read(task, self._deferred.resume_at if self._deferred else self._read_deadline)
+        if task.interrupted:
+            task.clear_interruption()
+            if self._exceeds_memory_limit or not isinstance(data, bytes):
+                return True
+        if data is Wait.TIMED_OUT and self._deferred:
+            return True
+        self._slot.last_byte_at = self._loop.now
+        if data == b"":
+            self._has_client_closed = self._has_client_closed or not self._stream.closed
+            return False
+        if isinstance(data, bytes):
+            self._receive(data)
+            return True
+        return not self._is_idle_at_timeout()
+
+    def _await_reader(self, task: Task) -> None:
+        """Read nothing until the client has read enough of its answers.
+
+        Its requests are answered as failed first: their cancellation could not be read.
+        """
+        self._requests.fail_pending()
+        self._stream.wait_while_backlogged(task)
+        task.clear_interruption()
+        timeout_s = MESSAGE_TIMEOUT_S if self._frames.buffered_bytes else IDLE_TIMEOUT_S
+        self._read_deadline = self._loop.now + timeout_s
+
     def _resume_deferred(self) -> None:
         if self._deferred.can_resume:
             self._messages.handle_deferred()
--- a/lilacfront/sched/send_budget.py
+++ b/lilacfront/sched/send_budget.py
@@ -28,7 +28,8 @@
     """Counts the bytes that are queued on some streams, so that their peers can't use up the memory.
 
     Each stream stays within a limit of its own, but many peers that do not read could reach the limits of
-    their streams at once. Final answers are limited where they are made (`Stream.has_answer_capacity`).
+    their streams at once. Final answers are limited where they are made (`Stream.has_answer_capacity`), and
+    no further requests are read from peers that lag behind (`Stream.is_backlogged`).
 
     Attributes:
         max_bytes: The limit. Above it, the unflushed stream with the longest queue and without a final answer
@@ -42,6 +43,16 @@
         self.queued_bytes = 0
         self.unflushed_streams: set[Writer] = set()
 
+    @property
+    def is_exceeded(self) -> bool:
+        """Whether more bytes are queued than the limit allows."""
+        return self.queued_bytes > self.max_bytes
+
+    @property
+    def fair_share(self) -> int:
+        """The limit divided by the number of unflushed streams, in bytes."""
+        return self.max_bytes // max(1, len(self.unflushed_streams))
+
     def has_capacity(self, size: int) -> bool:
         """Whether this many bytes more stay within the limit."""
         return self.queued_bytes + size <= self.max_bytes
@@ -53,7 +64,7 @@
     def add(self, size: int) -> None:
         """Add bytes that have been queued; this may close a stream."""
         self.queued_bytes += size
-        if self.queued_bytes <= self.max_bytes:
+        if not self.is_exceeded:
             return
         is_last_resort = self.queued_bytes > HARD_LIMIT_FACTOR * self.max_bytes
         droppable = [
--- a/lilacfront/sched/stream.py
+++ b/lilacfront/sched/stream.py
@@ -33,6 +33,7 @@
 # The part of a stream's queue limit that only answers up to `SHORT_ANSWER_BYTES` may use.
 RESERVED_ANSWER_BYTES = 1 << 18
 SHORT_ANSWER_BYTES = 1 << 10  # most answers to loads are shorter
+BACKLOG_CHECK_INTERVAL_S = 0.5  # other peers may have read their answers, too
 READABLE = select.POLLIN | select.POLLHUP | select.POLLERR
 WRITABLE = select.POLLOUT | select.POLLHUP | select.POLLERR
 
@@ -273,6 +274,24 @@
         stream_limit = self.max_queued_bytes - RESERVED_ANSWER_BYTES
         return self.queued_bytes + size <= stream_limit and self._budget.has_capacity(size)
 
+    @property
+    def is_backlogged(self) -> bool:
+        """Whether the peer lags so far behind that no further requests should be read from it.
+
+        That is so when the part of the stream's limit is reached that is kept for short answers, or when the
+        common limit is exceeded and the stream uses more than its share of it.
+        """
+        if not self._awaits_writable:
+            return False
+        is_over_share = self._budget.is_exceeded and self.queued_bytes > self._budget.fair_share
+        return is_over_share or self.queued_bytes > self.max_queued_bytes - RESERVED_ANSWER_BYTES
+
+    def wait_while_backlogged(self, task: Task) -> None:
+        """Wait until `is_backlogged` has become false; ends early if the task is interrupted."""
+        while self.is_backlogged and not task.interrupted:
+            target = min(self.max_queued_bytes - RESERVED_ANSWER_BYTES, self._budget.fair_share) // 2
+            self._wait_for_queue(task, self.loop.now + BACKLOG_CHECK_INTERVAL_S, target)
+
     def write(
         self,
         data: bytes,
--- a/tests/crossings/test_slow_readers.py
+++ b/tests/crossings/test_slow_readers.py
@@ -25,6 +25,9 @@
 CAPACITY = {"extra": {**SETTINGS["extra"], "cpu-of-kind": [1000]}}
 READERS = [f"R{number}" for number in range(8)]
 REQUEST_COUNT = 8  # of each client
+REQUESTS_PER_TURN = 20
+SHORT_ROW = "x" * 800
+MAX_BACKOFFS = 10
 ROWS = ("x" * 100,) * 400
 ROW_OF_A_PAGE = b"\t".join([b"x" * 1800] * 3) + b"\n"  # a page holds up to 6,000 bytes
 
@@ -91,6 +94,52 @@
         assert MAX_QUEUED_BYTES < queued_bytes < 5 * MAX_QUEUED_BYTES
 
 
+def short_answers(dialect: Dialect) -> Callable[[bytes], bytes]:
+    """A warehouse's function that answers each request with `SHORT_ROW`."""
+    if isinstance(dialect, Http):
+        return lambda data: b"".join(
+            dialect.serves(tag.decode(), SHORT_ROW) for tag in re.findall(rb"query_id=(\w+)", data)
+        )
+    return lambda data: b"".join(
+        encode_resp(call_id, b"HIT", b"pages=1", SHORT_ROW.encode() + b"\t2\t3\n")
+        for call_id in re.findall(rb"\$2\r\ndo\r\n\$16\r\n(.{16})\r\n", data)
+    )
+
+
+@pytest.mark.parametrize("path", PATHS)
+@pytest.mark.parametrize(
+    ("memory_mb", "reader_count", "request_count"),
+    [pytest.param(192, 1, 3000, id="one client"), pytest.param(4, 8, 360, id="all clients")],
+)
+def test_short_answers_that_nobody_reads_are_not_dropped(
+    path: Callable[[], Dialect], memory_mb: int, reader_count: int, request_count: int
+) -> None:
+    """Guards against answers that are dropped as the queue of one client, or of all of them, is full.
+
+    No more requests are read from a client that is so far behind.
+    """
+    limits = {**LIMITS, "memory_mb": memory_mb}
+    with running_harness(path, limits=limits, settings=CAPACITY) as harness:
+        for name in WAREHOUSES:
+            harness.actors[name].answer = short_answers(harness.dialect)
+        readers = [connect_reader(harness, f"R{number}") for number in range(reader_count)]
+        unread = pause_reading(readers)
+        for request in range(request_count):
+            for number, connection in enumerate(unread):
+                connection.sendall(encode_request(harness.dialect, number, request))
+            if not request % REQUESTS_PER_TURN:
+                harness.turn()
+        harness.wait(1.0)
+        resume_reading(readers, unread)
+        # Requests beyond the limit of open requests are answered with growing delays.
+        for _ in range(MAX_BACKOFFS):
+            harness.until(lambda: not harness.server.loop.send_budget.queued_bytes, "the queued answers")
+            if all(answer_count(harness, reader) == request_count for reader in readers):
+                break
+            harness.wait(1.0)
+        assert [answer_count(harness, reader) for reader in readers] == [request_count] * reader_count
+
+
 @pytest.mark.parametrize("path", PATHS)
 @pytest.mark.parametrize("pause_s", [4.0, 6.0, 12.0, 19.0])
 @pytest.mark.parametrize("is_shutdown", [False, True], ids=["served", "shutdown"])
