Answers without a known deadline wait for a client that pauses, as others do

Cause: these answers were written without a deadline, so the stall limit of 5 s closed their connection.

Change: they wait as long as the class with the longest deadline allows, in both fronts; ClientRequests has one place that writes a final answer.

Measured: three new cases in tests/crossings/test_slow_readers.py failed before (connection closed without the answer), all pass now; tests/crossings, frontends, exchanges, operations and core pass.

--- a/lilacfront/core/statement_class.py
+++ b/lilacfront/core/statement_class.py
@@ -43,6 +43,11 @@
     rules: tuple[ClassRule, ...]
     deadlines_s: tuple[float, ...]
 
+    @property
+    def longest_deadline_s(self) -> float:
+        """The longest time that a client waits for an answer, in seconds."""
+        return max(self.deadlines_s, default=0.0)
+
     def classify(self, statement: bytes, user: bytes, is_read: bool) -> int:
         """Return the index of the statement's class."""
         if not is_read:
--- a/lilacfront/frontends/clickhouse_connection.py
+++ b/lilacfront/frontends/clickhouse_connection.py
@@ -67,9 +67,7 @@
         except http1.HttpError as error:
             rejected_body = self._reader.rejected_body
             text = str(error).encode()
-            self._stream.write(
-                encode_error(error.status, ErrorCode.BAD_ARGUMENTS, text, keep_alive=False), is_final=True
-            )
+            self._write_error(encode_error(error.status, ErrorCode.BAD_ARGUMENTS, text, keep_alive=False))
         finally:
             self._reader.release_body()
             self._stream.close_gracefully(FINISH_TIMEOUT_S, rejected_body)
@@ -96,9 +94,7 @@
         try:
             request = parse_request(http_request, self._services, self._stream.is_open_by_poll)
         except InvalidQueryError as error:
-            self._stream.write(
-                encode_error(error.status, error.code, error.text, keep_alive, method), is_final=True
-            )
+            self._write_error(encode_error(error.status, error.code, error.text, keep_alive, method))
             # The delay keeps a client that repeats invalid requests without a pause from starving others.
             self._backoff_s = min(MAX_BACKOFF_S, max(MIN_BACKOFF_S, 2 * self._backoff_s))
             self._loop.sleep(task, self._loop.now + self._backoff_s)
@@ -112,6 +108,11 @@
         self._watch_client(task, in_flight)
         self._in_flight = None
 
+    def _write_error(self, response: bytes) -> None:
+        """Write the answer to a request that was not parsed in full, so that its deadline is unknown."""
+        awaited_until = self._loop.now + self._services.classifier.longest_deadline_s
+        self._stream.write(response, is_final=True, awaited_until=awaited_until)
+
     def _answer_ping(self, method: bytes, keep_alive: bool) -> None:
         if self._services.health.is_healthy():
             self._stream.write(encode_text(200, b"Ok.\n", [], keep_alive, method))
--- a/lilacfront/frontends/platform_connection.py
+++ b/lilacfront/frontends/platform_connection.py
@@ -211,8 +211,7 @@
                 return
             bytes_left -= len(data) if isinstance(data, bytes) else 0
         for seqid in self._requests.sequence_numbers():
-            self._requests.cancel(seqid)
-            self._stream.write(thrift.encode_fault(seqid, {}), is_final=True)
+            self._requests.fail(seqid)
 
     # ---- transfer -----------------------------------------------------------------------------------
     def _can_transfer(self) -> bool:
--- a/lilacfront/frontends/platform_requests.py
+++ b/lilacfront/frontends/platform_requests.py
@@ -144,23 +144,28 @@
                 return
         self._send_answer(seqid, frame, deadline)
 
-    def _send_answer(self, seqid: int, frame: bytes, deadline: float = 0.0) -> None:
+    def _send_answer(self, seqid: int, frame: bytes, deadline: float | None = None) -> None:
         """Write an answer, or forward it to the process that has the connection.
 
         Args:
             seqid: Sequence number of the request.
             frame: The answer.
-            deadline: Time until which the client waits for it, in seconds; 0 if unknown.
+            deadline: Time until which the client waits for it, in seconds; None if unknown.
         """
         if not self.handover.is_transferred:
             if not self._stream.has_answer_capacity(len(frame)):
                 log.warning("answer exceeds memory limit", bytes=len(frame))
                 frame = thrift.encode_fault(seqid, {})
-            self._stream.write(frame, is_final=True, awaited_until=deadline)
+            self._write_answer(frame, deadline)
             self.update_idle()
         elif self.handover.forward_answer(seqid, frame):
             self._release_handover()
 
+    def _write_answer(self, frame: bytes, deadline: float | None = None) -> None:
+        if deadline is None:
+            deadline = self._services.loop.now + self._services.names.longest_deadline_s
+        self._stream.write(frame, is_final=True, awaited_until=deadline)
+
     def update_idle(self) -> None:
         """Mark the connection idle if nothing is in flight or deferred."""
         if not self._open and not self._deferred:
@@ -179,6 +184,11 @@
         if request.in_flight is not None:
             self._services.dispatcher.cancel(request.in_flight)
 
+    def fail(self, seqid: int) -> None:
+        """Cancel a request and answer it as failed."""
+        self.cancel(seqid)
+        self._write_answer(thrift.encode_fault(seqid, {}))
+
     def cancel_all(self) -> None:
         """Cancel all requests."""
         for seqid in list(self._open):
@@ -204,9 +214,7 @@
 
     def write_rejection(self, seqid: int, retry_after_s: float) -> None:
         """Write the rejection of a request that was never in flight."""
-        self._stream.write(
-            thrift.encode_shed(seqid, {b"pushback": b"%d" % (1000 * retry_after_s)}), is_final=True
-        )
+        self._write_answer(thrift.encode_shed(seqid, {b"pushback": b"%d" % (1000 * retry_after_s)}))
 
     # ---- requests of a transferred connection -------------------------------------------------------
     def adopt(self, key: TransferKey, passed: ConnectionPassed) -> None:
--- a/lilacfront/frontends/platform_services.py
+++ b/lilacfront/frontends/platform_services.py
@@ -40,6 +40,11 @@
     classes: Mapping[bytes, PlatformClass]
     tenants: Mapping[bytes, int]
 
+    @property
+    def longest_deadline_s(self) -> float:
+        """The longest time that a client waits for an answer, in seconds."""
+        return max((request_class.deadline_s for request_class in self.classes.values()), default=0.0)
+
 
 @dataclass(slots=True, frozen=True)
 class PlatformServices:
--- a/tests/crossings/test_slow_readers.py
+++ b/tests/crossings/test_slow_readers.py
@@ -3,14 +3,17 @@
 from __future__ import annotations
 
 import re
+import socket
 from collections.abc import Callable
 
 import pytest
 from crossing_harness import (
+    BUFFER_BYTES,
     PATHS,
     STATEMENT,
     WAREHOUSES,
     connect_reader,
+    invoke_lookup,
     pause_reading,
     resume_reading,
     running_harness,
@@ -18,6 +21,8 @@
 from play import SETTINGS, Actor, Dialect, Harness, Http, ThriftResp
 from play.thrift_resp import encode_resp
 
+from lilacfront.operations.connection_transfer import TransferChannel
+from lilacfront.operations.transfer_messages import AnswerReady, ConnectionPassed
 from lilacfront.protocols import thrift
 
 LIMITS = {"cores": 1.0, "memory_mb": 1, "sockets": 256}
@@ -28,6 +33,7 @@
 REQUESTS_PER_TURN = 20
 SHORT_ROW = "x" * 800
 MAX_BACKOFFS = 10
+UNREADABLE_MESSAGE = b"\x00\x00\x00\x04\xff\xff\xff\xff"
 ROWS = ("x" * 100,) * 400
 ROW_OF_A_PAGE = b"\t".join([b"x" * 1800] * 3) + b"\n"  # a page holds up to 6,000 bytes
 
@@ -168,6 +174,74 @@
         )
 
 
+def send_rejected_request(harness: Harness, connection: socket.socket) -> bytes:
+    """Send a request that is rejected before it is parsed in full; returns a part of its answer."""
+    if isinstance(harness.dialect, Http):
+        connection.sendall(b"POST /?session_id=one HTTP/1.1\r\nHost: gate\r\nContent-Length: 0\r\n\r\n")
+        return b"HTTP/1.1 501 "
+    connection.sendall(thrift.encode_invoke(8, {b"op": b"none", b"call": b"8" * 16}, b"select 1"))
+    harness.wait(0.01)
+    # This request is deferred, since the one before was invalid, and rejected for what follows it.
+    connection.sendall(invoke_lookup(9) + UNREADABLE_MESSAGE)
+    return thrift.encode_shed(9, {b"pushback": b"100"})
+
+
+def connect_elsewhere(reader: Actor) -> int:
+    """Connect a client to another process; returns the descriptor that this process has of it."""
+    connection = socket.socket()
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER_BYTES)
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        connection.connect(listener.getsockname())
+        accepted, _ = listener.accept()
+    reader.use_connection(connection)
+    accepted.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, BUFFER_BYTES)
+    return accepted.detach()
+
+
+@pytest.mark.parametrize("path", PATHS)
+def test_answer_without_a_known_deadline_waits_for_a_client_that_pauses(path: Callable[[], Dialect]) -> None:
+    """Guards against answers to requests that were not parsed, which are dropped after 5 s.
+
+    The answer that is queued before it is to a request whose client has given up meanwhile.
+    """
+    with running_harness(path, settings=CAPACITY) as harness:
+        for name in WAREHOUSES:
+            harness.actors[name].answer = long_answers(harness.dialect)
+        reader = connect_reader(harness, "R0")
+        unread = pause_reading([reader])
+        for request in range(3 if isinstance(harness.dialect, ThriftResp) else 1):
+            unread[0].sendall(encode_request(harness.dialect, 0, request, time_left_ms=1000))
+            harness.wait(0.05)
+        assert harness.server.loop.send_budget.queued_bytes
+        answer = send_rejected_request(harness, unread[0])
+        harness.wait(8.0)
+        resume_reading([reader], unread)
+        harness.until(lambda: answer in reader.received or reader.eof, "the answer to the last request")
+        assert answer in reader.received
+
+
+def test_answer_from_another_process_waits_for_a_client_that_pauses() -> None:
+    """Guards against answers to requests that a predecessor serves, which are dropped after 5 s."""
+    with running_harness(ThriftResp, settings=CAPACITY) as harness:
+        reader = Actor(False)
+        harness.actors["R0"] = reader
+        descriptor = connect_elsewhere(reader)
+        unread = pause_reading([reader])
+        frontend = harness.server.platform_frontend
+        near, far = socket.socketpair()
+        channel = TransferChannel(harness.server.loop, near, harness.server.operations.group)
+        frontend.on_message(channel, ConnectionPassed(1, b"", ((7, b"a" * 16),), True), descriptor)
+        harness.turn()
+        answer = thrift.encode_answer(b"invoke", 7, b"x" * 40_000)
+        frontend.on_message(channel, AnswerReady(1, 7, answer), None)
+        harness.wait(8.0)
+        resume_reading([reader], unread)
+        harness.until(lambda: reader.received == answer or reader.eof, "the answer")
+        assert reader.received == answer
+        channel.close()
+        far.close()
+
+
 @pytest.mark.parametrize("path", PATHS)
 def test_client_that_pauses_beyond_its_deadline_is_disconnected(path: Callable[[], Dialect]) -> None:
     """Guards against answers that stay in memory for ever, though their client has given up."""
