Answers to a successor process are limited by their bytes, and never dropped

Cause: TransferChannel closed itself at a number of messages of any size.

Change: bytes count. Above 4 MB a short failure takes the place of an answer, with 4,096 unsent connections no more are passed on, above 32 MB the channel is closed.

Measured: test_answers_are_not_dropped_while_the_other_process_is_slow (16,000 answers) and test_channel_with_too_many_queued_bytes_is_closed failed before, pass now; tests/operations and crossings pass. No run with real processes reached it.

--- a/lilacfront/frontends/connection_handover.py
+++ b/lilacfront/frontends/connection_handover.py
@@ -133,7 +133,10 @@
 
     def is_possible(self, partial_bytes: int) -> bool:
         """Whether the connection can be transferred now."""
-        if self._registry.successor is None or self.is_transferred or self._stream.closed:
+        successor = self._registry.successor
+        if successor is None or self.is_transferred or self._stream.closed:
+            return False
+        if not successor.has_connection_capacity:
             return False
         # While bytes are queued here, both processes would write to the socket.
         return not self._stream.queued_bytes and partial_bytes <= MAX_PARTIAL_MESSAGE_BYTES
@@ -177,6 +180,12 @@
         self._origin = key
         self._registry.add(key, self._owner)
 
+    def has_answer_capacity(self, size: int) -> bool:
+        """Whether an answer of this many bytes may be forwarded, or written if the client is here."""
+        if self._destination is not None:
+            return self._destination.channel.has_answer_capacity(size)
+        return self._stream.has_answer_capacity(size)
+
     def forward_answer(self, seqid: int, frame: bytes) -> bool:
         """Send an answer to the process that has the connection now; False if that process has ended."""
         if self._destination is None:
--- a/lilacfront/frontends/platform_requests.py
+++ b/lilacfront/frontends/platform_requests.py
@@ -152,10 +152,10 @@
             frame: The answer.
             deadline: Time until which the client waits for it, in seconds; None if unknown.
         """
+        if not self.handover.has_answer_capacity(len(frame)):
+            log.warning("answer exceeds memory limit", bytes=len(frame))
+            frame = thrift.encode_fault(seqid, {})
         if not self.handover.is_transferred:
-            if not self._stream.has_answer_capacity(len(frame)):
-                log.warning("answer exceeds memory limit", bytes=len(frame))
-                frame = thrift.encode_fault(seqid, {})
             self._write_answer(frame, deadline)
             self.update_idle()
         elif self.handover.forward_answer(seqid, frame):
--- a/lilacfront/operations/connection_transfer.py
+++ b/lilacfront/operations/connection_transfer.py
@@ -36,7 +36,11 @@
 
 log = Log(__name__)
 MAX_MESSAGES_PER_TURN = 64
-MAX_QUEUED_MESSAGES = 4096  # a channel with more unsent messages is closed
+MAX_QUEUED_CONNECTIONS = 4096  # a channel with more unsent connections is closed
+# Unsent bytes above which short failures take the place of answers. The other messages are bounded by the
+# connections and by the requests that are open on them.
+MAX_QUEUED_ANSWER_BYTES = 4 << 20
+MAX_QUEUED_BYTES = 32 << 20  # a channel with more unsent bytes is closed
 MAX_RECEIVED_DESCRIPTORS = 4  # size of the ancillary buffer; a message with more than one is malformed
 RETRY_DELAY_S = 0.01  # delay before sending again after ETOOMANYREFS
 LISTEN_BACKLOG = 8
@@ -107,6 +111,8 @@
         self._sock = sock
         self._observer = observer
         self._unsent: deque[tuple[bytes, int | None]] = deque()
+        self._unsent_bytes = 0
+        self._unsent_connections = 0
         self.closed = False
         sock.setblocking(False)
         self._watch()
@@ -116,6 +122,15 @@
         """Number of messages that have not been sent yet."""
         return len(self._unsent)
 
+    @property
+    def has_connection_capacity(self) -> bool:
+        """Whether another connection may be sent."""
+        return self._unsent_connections < MAX_QUEUED_CONNECTIONS
+
+    def has_answer_capacity(self, size: int) -> bool:
+        """Whether an answer of this many bytes may be sent; otherwise a short failure takes its place."""
+        return not self._unsent or self._unsent_bytes + size <= MAX_QUEUED_ANSWER_BYTES
+
     def _watch(self) -> None:
         events = select.POLLIN
         if self._unsent:
@@ -127,14 +142,18 @@
         """Queue a message, and send it as soon as possible.
 
         The channel takes ownership of the descriptor, even if it is closed. It closes itself when more than
-        `MAX_QUEUED_MESSAGES` messages are unsent, because the other process reads too slowly.
+        `MAX_QUEUED_CONNECTIONS` connections or `MAX_QUEUED_BYTES` are unsent, because the other process reads
+        too slowly.
         """
         if self.closed:
             if descriptor is not None:
                 os.close(descriptor)
             return
-        self._unsent.append((encode_message(message), descriptor))
-        if len(self._unsent) > MAX_QUEUED_MESSAGES:
+        data = encode_message(message)
+        self._unsent.append((data, descriptor))
+        self._unsent_bytes += len(data)
+        self._unsent_connections += descriptor is not None
+        if self._unsent_connections > MAX_QUEUED_CONNECTIONS or self._unsent_bytes > MAX_QUEUED_BYTES:
             self.close()
             return
         self._flush()
@@ -156,7 +175,9 @@
                 self.close()
                 return
             self._unsent.popleft()
+            self._unsent_bytes -= len(data)
             if descriptor is not None:
+                self._unsent_connections -= 1
                 os.close(descriptor)
         if not self.closed:
             self._watch()
