Loads of a key keep their order while one process replaces another

Cause: the new process accepted clients beside the old one from its readiness on, and learned the keys in flight there only with the transferred connections.

Change: a process accepts nobody while another one is ready. At SIGTERM the old one announces all keys in use before its shutdown, on the same channel, and reports each that is free (frontends/key_handover.py); the successor holds them back, at most for the longest deadline, after a crash for the settings' gap. A load that the old process takes after SIGTERM is rejected. Only processes whose state says so get the new messages; the state files of processes with a channel are not read, so that the channel's order holds.

Left: a ready process that hangs keeps its successor from accepting until it is killed; keys in the queues of several teams.

--- a/lilacfront/core/answer_transit.py
+++ b/lilacfront/core/answer_transit.py
@@ -34,6 +34,11 @@
         """Return the time from which the next request of the key may be sent, on the loop's clock."""
         return self._arrival_times.get(ordering_key, 0.0)
 
+    def keys(self) -> set[int]:
+        """Return the keys whose last answer may not have arrived."""
+        self._remove_arrived()
+        return set(self._arrival_times)
+
     def _remove_arrived(self) -> None:
         while self._arrival_times:
             key, arrival_time = next(iter(self._arrival_times.items()))
--- a/lilacfront/core/dispatcher.py
+++ b/lilacfront/core/dispatcher.py
@@ -149,6 +149,15 @@
         self.router.release_key(ordering_key)
         self._answer_transit.record_answer(ordering_key)
 
+    def keys_in_use(self) -> set[int]:
+        """Return the keys with requests, holds, attempts that may still run, or answers on their way."""
+        return self.router.keys_in_use(self._executor.now_us) | self._answer_transit.keys()
+
+    @property
+    def ordering_gap_s(self) -> float:
+        """Time for which an attempt without a known end may still run, in seconds."""
+        return self.router.state.settings.rules.ordering_gap_us / 1e6
+
     # ---- request lifecycle --------------------------------------------------------------------------
     def submit(self, request: Request, task: Task) -> InFlightRequest:
         """Register a request from a frontend and queue or route it; see `next_decision`."""
--- a/lilacfront/decisions/ordered_keys.py
+++ b/lilacfront/decisions/ordered_keys.py
@@ -63,6 +63,11 @@
             if not self._holds[key]:
                 del self._holds[key]
 
+    def in_use(self) -> set[int]:
+        """Return the keys with requests, holds or gaps."""
+        self._remove_ended_gaps()
+        return {*self._queues, *self._holds, *self._gaps}
+
     def is_next(self, request: PendingRequest) -> bool:
         """Return whether the request is the first of its key, without a hold or a gap after another one."""
         key, number = request.ordering_key, request.received.request
--- a/lilacfront/decisions/router.py
+++ b/lilacfront/decisions/router.py
@@ -142,6 +142,11 @@
         """End one hold of a key; its requests are sent with the next step."""
         self._ordered_keys.release(ordering_key)
 
+    def keys_in_use(self, now_us: int) -> set[int]:
+        """Return the keys of which no other process may send a request; see `OrderedKeys.in_use`."""
+        self.state.now_us = max(self.state.now_us, now_us)
+        return self._ordered_keys.in_use()
+
     def _on_request(self, event: RequestReceived) -> None:
         state = self.state
         if event.request in state.requests:
--- a/lilacfront/frontends/platform.py
+++ b/lilacfront/frontends/platform.py
@@ -7,13 +7,21 @@
 from lilacfront.core.dispatcher import RequestDispatcher
 from lilacfront.core.model import Upstream
 from lilacfront.frontends.connection_handover import TransferKey, TransferRegistry
+from lilacfront.frontends.key_handover import KeyHandover
 from lilacfront.frontends.listener import ClientSlot, Listener
 from lilacfront.frontends.partial_messages import PartialMessageBudget
 from lilacfront.frontends.platform_connection import PlatformConnection
 from lilacfront.frontends.platform_services import ClientNames, PlatformServices
 from lilacfront.frontends.process_state import DrainPolicy, HealthSource
 from lilacfront.operations.connection_transfer import TransferChannel
-from lilacfront.operations.transfer_messages import ConnectionPassed, Message, StateAnnouncement
+from lilacfront.operations.transfer_messages import (
+    AnswerReady,
+    ConnectionPassed,
+    KeysFree,
+    KeysInUse,
+    Message,
+    RequestCancelled,
+)
 from lilacfront.sched import Loop
 
 MAX_QUEUED_BYTES = 2 << 20  # answers queued for a client that does not read
@@ -25,6 +33,7 @@
     Attributes:
         partial_messages: Limits the memory for incomplete messages.
         transfers: Registry of the connections transferred between processes.
+        keys: Hand-over of the ordering keys between processes.
     """
 
     def __init__(
@@ -39,6 +48,7 @@
     ) -> None:
         self.partial_messages = PartialMessageBudget(memory_bytes)
         self.transfers = TransferRegistry()
+        self.keys = KeyHandover(loop, dispatcher, names.longest_deadline_s)
         self._services = PlatformServices(
             loop=loop,
             dispatcher=dispatcher,
@@ -49,6 +59,7 @@
             partial_messages=self.partial_messages,
             transfers=self.transfers,
             open_call_ids=set(),
+            keys=self.keys,
         )
         self._listener: Listener | None = None
 
@@ -77,12 +88,17 @@
         self.transfers.successor = successor
 
     def on_message(self, channel: TransferChannel, message: Message, descriptor: int | None) -> None:
-        """Adopt a connection from another process, or handle a message about a transferred one."""
-        if isinstance(message, ConnectionPassed):
-            assert descriptor is not None
-            self._adopt(channel, message, descriptor)
-        elif not isinstance(message, StateAnnouncement):
-            self.transfers.on_message(channel, message)
+        """Adopt a connection from another process, or handle a message about a transferred one or a key."""
+        match message:
+            case ConnectionPassed():
+                assert descriptor is not None
+                self._adopt(channel, message, descriptor)
+            case KeysInUse(keys):
+                self.keys.on_keys_in_use(channel, keys)
+            case KeysFree(keys):
+                self.keys.on_keys_free(channel, keys)
+            case AnswerReady() | RequestCancelled():
+                self.transfers.on_message(channel, message)
 
     def _adopt(self, channel: TransferChannel, passed: ConnectionPassed, descriptor: int) -> None:
         assert self._listener is not None
@@ -94,6 +110,7 @@
     def on_channel_closed(self, channel: TransferChannel) -> None:
         """Cancel or fail the requests that depend on a process that has ended."""
         self.transfers.on_channel_closed(channel)
+        self.keys.on_channel_closed(channel)
 
     def fail_transferred(self) -> None:
         """Fail the requests in flight of transferred connections; called at the end of a shutdown."""
--- a/lilacfront/frontends/platform_messages.py
+++ b/lilacfront/frontends/platform_messages.py
@@ -9,6 +9,9 @@
 from lilacfront.frontends.platform_services import PlatformServices
 from lilacfront.protocols import thrift
 
+# Time within which the connection of a rejected client is closed or transferred to the successor.
+KEY_RETRY_AFTER_S = 0.5
+
 
 class MessageHandler:
     """Handles each complete message: `invoke`, `abort` and `ping`; any other is rejected."""
@@ -110,6 +113,9 @@
             self._reject_message(b"invoke", message.seqid, thrift.PROTOCOL_ERROR, str(error))
             return
         retry_after_s = self._services.drain_policy.retry_after_s(self._slot.connected_at)
+        if request.ordering_key and self._services.keys.has_begun:
+            # The successor may serve this key already; the client reaches it on another connection.
+            retry_after_s = KEY_RETRY_AFTER_S
         if retry_after_s is not None:
             self._slot.last_request_at = self._loop.now
             self._requests.write_rejection(message.seqid, retry_after_s)
--- a/lilacfront/frontends/platform_requests.py
+++ b/lilacfront/frontends/platform_requests.py
@@ -81,12 +81,25 @@
             (seqid, request.ordering_key) for seqid, request in self._open.items() if request.ordering_key
         )
 
+    def _add(self, seqid: int, request: OpenRequest) -> None:
+        self._open[seqid] = request
+        self._services.open_call_ids.add(request.call_id)
+        self._services.keys.add_request(request.ordering_key)
+
+    def _remove(self, seqid: int) -> OpenRequest:
+        """Remove and return a request; without one of this number, return an empty one."""
+        request = self._open.pop(seqid, None)
+        if request is None:
+            return OpenRequest(b"")
+        self._services.open_call_ids.discard(request.call_id)
+        self._services.keys.remove_request(request.ordering_key)
+        return request
+
     # ---- serving ------------------------------------------------------------------------------------
     def start(self, seqid: int, request: Request) -> None:
         """Serve a new request in its own task."""
         self.had_request = True
-        self._open[seqid] = OpenRequest(request.call_id, ordering_key=request.ordering_key)
-        self._services.open_call_ids.add(request.call_id)
+        self._add(seqid, OpenRequest(request.call_id, ordering_key=request.ordering_key))
         self._slot.mark_busy()
         self._services.loop.spawn(self._serve, seqid, request)
 
@@ -118,8 +131,7 @@
         # No answer is sent for a request that was cancelled, even if its number has been reused since.
         if not self._is_open(seqid, request, in_flight):
             return
-        del self._open[seqid]
-        self._services.open_call_ids.discard(request.call_id)
+        self._remove(seqid)
         self._send_final_answer(seqid, answer, sink.body, request.deadline)
 
     def _is_open(self, seqid: int, request: Request, in_flight: InFlightRequest | None) -> bool:
@@ -174,8 +186,7 @@
     # ---- ending requests without their result -------------------------------------------------------
     def cancel(self, seqid: int) -> None:
         """Cancel the request with this number, if there is one; it gets no answer."""
-        request = self._open.pop(seqid, OpenRequest(b""))
-        self._services.open_call_ids.discard(request.call_id)
+        request = self._remove(seqid)
         if seqid in self._remote_seqids:
             self._remote_seqids.discard(seqid)
             self._services.dispatcher.release_key(request.ordering_key)
@@ -225,9 +236,8 @@
         ordering_keys = dict(passed.ordering_keys)
         for seqid, call_id in passed.pending_requests:
             ordering_key = ordering_keys.get(seqid, 0)
-            self._open[seqid] = OpenRequest(call_id, ordering_key=ordering_key)
+            self._add(seqid, OpenRequest(call_id, ordering_key=ordering_key))
             self._remote_seqids.add(seqid)
-            self._services.open_call_ids.add(call_id)
             self._services.dispatcher.hold_key(ordering_key)
         if passed.pending_requests:
             self._slot.mark_busy()
@@ -239,8 +249,7 @@
         if seqid not in self._remote_seqids:
             return
         self._remote_seqids.discard(seqid)
-        request = self._open.pop(seqid)
-        self._services.open_call_ids.discard(request.call_id)
+        request = self._remove(seqid)
         self._services.dispatcher.release_key(request.ordering_key)
         self._send_answer(seqid, frame)
         self._release_handover()
--- a/lilacfront/frontends/platform_services.py
+++ b/lilacfront/frontends/platform_services.py
@@ -8,6 +8,7 @@
 from lilacfront.core.dispatcher import RequestDispatcher
 from lilacfront.core.model import Upstream
 from lilacfront.frontends.connection_handover import TransferRegistry
+from lilacfront.frontends.key_handover import KeyHandover
 from lilacfront.frontends.partial_messages import PartialMessageBudget
 from lilacfront.frontends.process_state import DrainPolicy, HealthSource
 from lilacfront.sched import Loop
@@ -60,6 +61,7 @@
         partial_messages: Limits the memory for incomplete messages.
         transfers: Registry of the connections transferred between processes.
         open_call_ids: Ids of the requests in flight on all connections.
+        keys: Ordering keys of the requests in flight, and their hand-over between processes.
     """
 
     loop: Loop
@@ -71,3 +73,4 @@
     partial_messages: PartialMessageBudget
     transfers: TransferRegistry
     open_call_ids: set[bytes]
+    keys: KeyHandover
--- a/lilacfront/operations/host.py
+++ b/lilacfront/operations/host.py
@@ -5,7 +5,7 @@
 from typing import Protocol
 
 from lilacfront.decisions.events import EndpointList
-from lilacfront.operations.connection_transfer import ChannelObserver
+from lilacfront.operations.connection_transfer import ChannelObserver, TransferChannel
 from lilacfront.operations.draining import DrainTarget
 from lilacfront.operations.lifecycle import ReadinessSource
 from lilacfront.operations.state_record import LearnedState, OperatorDirective
@@ -20,6 +20,9 @@
     def set_process_count(self, processes: int) -> None:
         """Divide the limits of the front end by the number of its running processes."""
 
+    def announce_keys(self, successor: TransferChannel) -> None:
+        """Announce the ordering keys in use to the successor, and report each as soon as it is free."""
+
     def on_directive(self, directive: OperatorDirective) -> None:
         """Handle a directive that is newly in force, received by this or another process."""
 
--- a/lilacfront/operations/process_group.py
+++ b/lilacfront/operations/process_group.py
@@ -116,7 +116,9 @@
             self.registry.set_locked(scan.running)
             has_stale = has_stale or scan.has_stale
             for state in scan.states:
-                self._accept(state)
+                # The order of what a process sends over its channel must be kept, so its file is not read.
+                if not self.registry.is_bound(state.token):
+                    self._accept(state)
         if has_stale:
             self.registry.forget_ended()
             self.publish(remove_stale=True)
--- a/lilacfront/operations/process_registry.py
+++ b/lilacfront/operations/process_registry.py
@@ -63,6 +63,15 @@
             return ready[-1]
         return candidates[-1][0] if candidates else None
 
+    def is_bound(self, token: str) -> bool:
+        """Return whether there is a channel to the process."""
+        return token in self._channels.values()
+
+    def holds_keys(self, channel: TransferChannel) -> bool:
+        """Return whether the process at the other end holds back requests of keys that this one uses."""
+        state = self._states.get(self._channels.get(channel, ""))
+        return state is not None and state.holds_keys is True
+
     def forget_ended(self) -> None:
         """Forget the states of processes that have ended."""
         running = self.stages()
--- a/lilacfront/operations/service.py
+++ b/lilacfront/operations/service.py
@@ -84,6 +84,7 @@
         self._published_stage: LifecycleStage | None = None
         self._shutting_down = False
         self._handed_over = False
+        self._may_accept = False  # whether there was a time without another process that is ready
 
     # ---- lifecycle ----------------------------------------------------------------------------------
     def start(self) -> None:
@@ -137,10 +138,15 @@
         self.poll()
         self._shutting_down = True
         self.drain_controller.begin_shutdown()
-        self._handed_over = self.group.registry.has_successor()
+        registry = self.group.registry
+        self._handed_over = registry.has_successor()
+        successor = registry.successor_channel() if self._handed_over else None
+        if successor is not None and registry.holds_keys(successor):
+            # Before the state is published: the successor accepts clients as soon as it has read that.
+            self._host.announce_keys(successor)
         self.group.publish()
         if self._handed_over:
-            self.drain_controller.hand_over(self.group.registry.successor_channel(), kill_after_s)
+            self.drain_controller.hand_over(successor, kill_after_s)
         else:
             self.drain_controller.shut_down(deadlines_without_successor)
         return self._handed_over
@@ -219,6 +225,7 @@
             change_log_seq=self._host.change_log_seq(),
             directives=tuple(self.operator_state.directives.values()),
             learned=self._host.export_learned_state(),
+            holds_keys=True,
         )
 
     def on_process_state(self, state: ProcessState) -> None:
@@ -234,7 +241,8 @@
     def on_processes_changed(self) -> None:
         """Divide the limits by the number of running processes, and start or stop accepting clients.
 
-        No clients are accepted while this process is starting and another one is ready.
+        While another process is ready, this one accepts no clients before the other shuts down, since neither
+        knows which ordering keys are in use at the other; nor does it while it is starting again.
         """
         stages = self.group.registry.stages()
         running = 1 + len(stages)
@@ -243,9 +251,12 @@
             log.warning("front end processes changed", running=running)
             self._host.set_process_count(running)
             self.group.publish()
-        if not self._shutting_down:
-            started = self.stage() is not LifecycleStage.STARTING
-            self.drain_controller.set_accepting(started or LifecycleStage.READY.value not in stages.values())
+        if self._shutting_down:
+            return
+        is_other_ready = LifecycleStage.READY.value in stages.values()
+        self._may_accept = self._may_accept or not is_other_ready
+        is_started = self.stage() is not LifecycleStage.STARTING
+        self.drain_controller.set_accepting(self._may_accept and (is_started or not is_other_ready))
 
     def poll(self) -> None:
         """Process new states, forget old restorations, and publish the stage if it has changed."""
--- a/lilacfront/operations/state_record.py
+++ b/lilacfront/operations/state_record.py
@@ -111,6 +111,7 @@
         directives: The latest directive for each target that the process knows.
         learned: Measurements to be used by a process that has none of its own yet.
         change_log_seq: Number of the last change log event applied; 0 without one.
+        holds_keys: Whether the process reads `KeysInUse` and `KeysFree`; older versions don't set it.
     """
 
     front_end: str
@@ -120,6 +121,7 @@
     directives: tuple[OperatorDirective, ...] = ()
     learned: LearnedState = LearnedState()
     change_log_seq: int = 0
+    holds_keys: bool | msgspec.UnsetType = msgspec.UNSET
 
 
 class ProcessStateError(LilacfrontError, ValueError):
--- a/lilacfront/operations/transfer_messages.py
+++ b/lilacfront/operations/transfer_messages.py
@@ -62,7 +62,22 @@
     state: ProcessState
 
 
-Message = ConnectionPassed | AnswerReady | RequestCancelled | StateAnnouncement
+class KeysInUse(msgspec.Struct, frozen=True, tag="keys in use", array_like=True):
+    """Ordering keys that the sender, which shuts down, may use until it reports them as free.
+
+    It is sent only to processes whose state says that they read it (`ProcessState.holds_keys`).
+    """
+
+    keys: tuple[int, ...]
+
+
+class KeysFree(msgspec.Struct, frozen=True, tag="keys free", array_like=True):
+    """Ordering keys that the sender does not use any more."""
+
+    keys: tuple[int, ...]
+
+
+Message = ConnectionPassed | AnswerReady | RequestCancelled | StateAnnouncement | KeysInUse | KeysFree
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER = msgspec.msgpack.Decoder(Message)
 
--- a/lilacfront/server/graceful_shutdown.py
+++ b/lilacfront/server/graceful_shutdown.py
@@ -82,6 +82,7 @@
             or server.upstream.send_budget.unflushed_streams
             or server.clients.have_connections
             or server.platform_frontend.transfers.is_pending
+            or server.platform_frontend.keys.is_pending
         )
 
 
--- a/lilacfront/server/operations_host.py
+++ b/lilacfront/server/operations_host.py
@@ -53,6 +53,10 @@
         """Transfer each client connection to the successor process as soon as possible."""
         self._server.platform_frontend.transfer_connections(successor)
 
+    def announce_keys(self, successor: TransferChannel) -> None:
+        """Announce the ordering keys in use to the successor."""
+        self._server.platform_frontend.keys.begin(successor)
+
     def on_message(self, channel: TransferChannel, message: Message, descriptor: int | None) -> None:
         """Pass a message about a connection to the platform frontend."""
         self._server.platform_frontend.on_message(channel, message, descriptor)
