Loads of a key leave the queues of several teams in the order they came

Cause: the router keeps the order among the requests that reach it; they wait for their teams before that, in separate queues.

Change: TeamAdmission routes requests of one key in the order received (core/queued_keys.py); one that is admitted early counts as running for its team. Earlier ones that are rejected, cancelled or late hold nobody back.

--- a/lilacfront/core/team_admission.py
+++ b/lilacfront/core/team_admission.py
@@ -8,6 +8,7 @@
 from lilacfront.core.action_executor import ActionExecutor
 from lilacfront.core.in_flight import InFlightRequest
 from lilacfront.core.model import Rejected
+from lilacfront.core.queued_keys import QueuedKeys
 from lilacfront.core.timers import Timers
 from lilacfront.sched import Loop
 from lilacfront.teams.queued_request import AdmitRequest, RejectRequest, TeamDecision
@@ -16,7 +17,11 @@
 
 
 class TeamAdmission:
-    """Queues requests by team and routes those that the scheduler admits."""
+    """Queues requests by team and routes those that the scheduler admits.
+
+    Requests of one ordering key are routed in the order in which they were received, also from the queues of
+    different teams: one that is admitted early waits, and counts as running for its team.
+    """
 
     def __init__(
         self,
@@ -32,11 +37,14 @@
         self._requests = requests
         self._executor = executor
         self._timers = timers
+        self._keys = QueuedKeys()
+        self._admitted_early: set[int] = set()
 
     def enqueue(self, in_flight: InFlightRequest) -> None:
         """Add a request to its team's queue."""
         in_flight.in_team_queue = True
         request = in_flight.request
+        self._keys.add(request.ordering_key, in_flight.number)
         statement = request.statement or request.body
         team = self._scheduler.settings.team_of(request.user, request.headers, request.class_index, statement)
         self._apply(
@@ -47,7 +55,13 @@
 
     def remove(self, in_flight: InFlightRequest) -> None:
         """Remove a request that is not yet routed from its queue."""
-        self._apply(self._scheduler.remove(self._loop.now, in_flight.number))
+        number = in_flight.number
+        if number in self._admitted_early:
+            self._admitted_early.discard(number)
+            self._apply(self._scheduler.request_ended(self._loop.now, number, None))
+        else:
+            self._apply(self._scheduler.remove(self._loop.now, number))
+        self._route_next(in_flight)
 
     def request_ended(self, in_flight: InFlightRequest) -> None:
         """Charge the team of a routed request that has ended for the time that it ran."""
@@ -74,7 +88,7 @@
                 # The request no longer exists: report its end, or its threads would stay in use.
                 self._apply(self._scheduler.request_ended(self._loop.now, decision.number, None))
             elif isinstance(decision, AdmitRequest):
-                self._executor.route(in_flight)
+                self._admit(in_flight)
             else:
                 self._reject(in_flight, decision)
         next_tick_at = self._scheduler.next_tick_at()
@@ -82,6 +96,21 @@
             self._timers.wake()
         self.next_tick_at = next_tick_at
 
+    def _admit(self, in_flight: InFlightRequest) -> None:
+        if not self._keys.is_first(in_flight.request.ordering_key, in_flight.number):
+            self._admitted_early.add(in_flight.number)
+            return
+        self._executor.route(in_flight)
+        self._route_next(in_flight)
+
+    def _route_next(self, in_flight: InFlightRequest) -> None:
+        """Route the next request of a key, if it has been admitted, as this one is not queued any more."""
+        number = self._keys.remove(in_flight.request.ordering_key, in_flight.number)
+        following = None if number is None else self._requests.get(number)
+        if following is not None and following.number in self._admitted_early:
+            self._admitted_early.discard(following.number)
+            self._admit(following)
+
     def _reject(self, in_flight: InFlightRequest, decision: RejectRequest) -> None:
         retry_after_ms = math.ceil(decision.retry_after_s * 1000)
         wait_range_ms = (int(decision.retry_wait.low * 1000), math.ceil(decision.retry_wait.high * 1000))
--- a/tests/crossings/test_ordered_keys.py
+++ b/tests/crossings/test_ordered_keys.py
@@ -151,3 +151,58 @@
         received = b"".join(harness.actors[name].received for name in WAREHOUSES)
         assert encode_resp(b"undo", b"%016x" % 1) in received
         assert forwarded(harness) == [1, 2]
+
+
+TEAMS = """
+default = "wide"
+[[team]]
+name = "narrow"
+budget = 0.5
+burst = 0.5
+[[team]]
+name = "wide"
+[[rule]]
+team = "narrow"
+pattern = "narrow"
+"""
+REFILL_S = 0.5  # until the budget of the narrow team allows its second load
+NARROW = b"insert into narrow select 1"
+
+
+def send_team_load(harness: Harness, client: str, number: int, key: bytes, statement: bytes) -> None:
+    fields = {b"op": b"load", b"call": b"%016x" % number, b"ttl": b"20000", b"row": key}
+    actor = harness.actors.get(client) or harness.connect_client(client)
+    harness.send(actor, thrift.encode_invoke(number, fields, statement))
+    harness.turn()
+
+
+def send_loads_of_two_teams(harness: Harness) -> None:
+    """Send load 1 of another key, then loads 2 and 3 of one key, of which the second waits for its team."""
+    send_team_load(harness, CLIENTS[0], 1, OTHER_KEY, NARROW)
+    send_team_load(harness, CLIENTS[0], 2, KEY, NARROW)
+    send_team_load(harness, CLIENTS[1], 3, KEY, b"insert into wide select 1")
+    harness.wait(WAIT_S)
+    assert forwarded(harness) == [1]
+
+
+def test_keyed_loads_leave_the_queues_of_teams_in_order() -> None:
+    """Guards against a load that overtakes an earlier one of its key, as its own team's queue is shorter."""
+    with harness_with_ordered_loads(teams=TEAMS) as harness:
+        send_loads_of_two_teams(harness)
+        serve(harness, 1)
+        harness.wait(REFILL_S)
+        assert forwarded(harness) == [1, 2]
+        serve(harness, 2)
+        harness.wait(WAIT_S)
+        assert forwarded(harness) == [1, 2, 3]
+
+
+@pytest.mark.parametrize("abort", [2, 3])
+def test_keyed_load_that_is_cancelled_in_its_queue_holds_nobody_back(abort: int) -> None:
+    with harness_with_ordered_loads(teams=TEAMS) as harness:
+        send_loads_of_two_teams(harness)
+        client = harness.actors[CLIENTS[abort - 2]]
+        harness.send(client, thrift.encode_abort(abort))
+        serve(harness, 1)
+        harness.wait(REFILL_S)
+        assert forwarded(harness) == [1, 5 - abort]
