A process with the ClickHouse front end can be replaced: its socket is shared

Cause: the platform passes only the socket of its own protocol, so the new process had to bind an address on which the old one listens.

Left: HTTP connections are drained, not transferred; one client sends the queries in the test, not a flood on both fronts.

--- a/lilacfront/frontends/clickhouse.py
+++ b/lilacfront/frontends/clickhouse.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import socket
+
 from lilacfront.core.dispatcher import RequestDispatcher
 from lilacfront.core.model import Upstream
 from lilacfront.core.statement_class import StatementClassifier
@@ -32,14 +34,18 @@
         bodies = BodyBudget(max_body_bytes, max_bodies_bytes)
         self._services = ClickHouseServices(loop, dispatcher, upstream, classifier, bodies, health)
 
-    def listen(self, address: tuple[str, int], max_connections: int) -> Listener:
-        """Accept connections at an address.
+    def listen(
+        self, address: tuple[str, int], max_connections: int, passed_socket: socket.socket | None = None
+    ) -> Listener:
+        """Accept connections at an address, or on a listening socket passed by another process.
 
         Raises:
             OSError: The address can't be used.
         """
         max_queued_bytes = MAX_QUEUED_BYTES + self._services.bodies.max_body_bytes
-        return Listener(self._services.loop, address, max_connections, max_queued_bytes, self._accept)
+        return Listener(
+            self._services.loop, address, max_connections, max_queued_bytes, self._accept, passed_socket
+        )
 
     def _accept(self, slot: ClientSlot) -> None:
         self._services.loop.spawn(ClickHouseConnection(self._services, slot).run)
--- a/lilacfront/frontends/listener.py
+++ b/lilacfront/frontends/listener.py
@@ -168,6 +168,7 @@
         is_accepting: False while another process that shares the socket accepts the new connections.
         sock: The listening socket.
         address: Host and port of the listening socket.
+        is_closed: Whether the listening socket is closed.
     """
 
     def __init__(
@@ -206,7 +207,7 @@
         self.sock.setblocking(False)
         self.address: tuple[str, int] = self.sock.getsockname()
         self._is_watching = False
-        self._is_closed = False
+        self.is_closed = False
         self._is_accept_paused = False
         self._is_lingering_check_due = False
         self.update_watch()
@@ -275,12 +276,12 @@
 
     def close(self) -> None:
         """Stop listening and keep the open connections. Calls after the first do nothing."""
-        if self._is_closed:
+        if self.is_closed:
             return
         # The kernel may have connections in its accept queue; closing the socket would reset them. They are
         # accepted first.
         self._on_readable(0)
-        self._is_closed = True
+        self.is_closed = True
         self.update_watch()
         self.sock.close()
 
@@ -291,7 +292,7 @@
         At the limit no connection is accepted, so that descriptors remain for connections to engines.
         """
         may_accept = self._has_capacity and self.is_accepting
-        should_watch = may_accept and not self._is_closed and not self._is_accept_paused
+        should_watch = may_accept and not self.is_closed and not self._is_accept_paused
         if should_watch and not self._is_watching:
             self.loop.watch(self.sock.fileno(), select.POLLIN, self._on_readable)
         elif self._is_watching and not should_watch:
--- a/lilacfront/operations/process_group.py
+++ b/lilacfront/operations/process_group.py
@@ -15,7 +15,7 @@
 from lilacfront.operations.state_directory import StateDirectory
 from lilacfront.operations.state_record import ProcessState
 from lilacfront.operations.state_writer import StateWriter
-from lilacfront.operations.transfer_messages import Message, StateAnnouncement
+from lilacfront.operations.transfer_messages import ListenerRequested, Message, StateAnnouncement
 from lilacfront.sched import Loop
 
 log = Log(__name__)
@@ -136,6 +136,9 @@
 
     def on_message(self, channel: TransferChannel, message: Message, descriptor: int | None) -> None:
         """Process a state received over a channel; pass other messages to the observer of transfers."""
+        if isinstance(message, ListenerRequested) and message.front_end != self._front_end:
+            log.warning("request of another front end ignored", front_end=message.front_end)
+            return
         if not isinstance(message, StateAnnouncement):
             self._transfers.on_message(channel, message, descriptor)
             return
--- a/lilacfront/operations/transfer_messages.py
+++ b/lilacfront/operations/transfer_messages.py
@@ -77,7 +77,31 @@
     keys: tuple[int, ...]
 
 
-Message = ConnectionPassed | AnswerReady | RequestCancelled | StateAnnouncement | KeysInUse | KeysFree
+class ListenerRequested(msgspec.Struct, frozen=True, tag="listener requested", array_like=True):
+    """Requests the listening socket of an address from another process of the same front end."""
+
+    front_end: str
+    host: str
+    port: int
+
+
+class ListenerPassed(msgspec.Struct, frozen=True, tag="listener passed", array_like=True):
+    """Answers `ListenerRequested`; the socket's descriptor is sent as ancillary data of this message."""
+
+    host: str
+    port: int
+
+
+Message = (
+    ConnectionPassed
+    | AnswerReady
+    | RequestCancelled
+    | StateAnnouncement
+    | KeysInUse
+    | KeysFree
+    | ListenerRequested
+    | ListenerPassed
+)
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER = msgspec.msgpack.Decoder(Message)
 
--- a/lilacfront/server/client_listeners.py
+++ b/lilacfront/server/client_listeners.py
@@ -2,11 +2,17 @@
 
 from __future__ import annotations
 
+import os
+
 from lilacfront.frontends.listener import Listener
 from lilacfront.frontends.platform import PlatformFrontend
+from lilacfront.logs import Log
+from lilacfront.operations.connection_transfer import TransferChannel
 from lilacfront.operations.drain import Drain
+from lilacfront.operations.transfer_messages import ListenerPassed
 from lilacfront.sched import Loop, Task
 
+log = Log(__name__)
 DRAIN_CHECK_INTERVAL_S = 0.05
 
 
@@ -51,6 +57,16 @@
         if drain is not None and not was_draining:
             self._loop.spawn(self._run_drain)
 
+    def pass_listener(self, channel: TransferChannel, address: tuple[str, int]) -> None:
+        """Send the listening socket of an address to another process of this front end.
+
+        Both can accept then; only one does at a time (`Operations.on_processes_changed`).
+        """
+        for listener in self.listeners:
+            if listener.address == address and not listener.is_closed:
+                channel.send(ListenerPassed(*address), os.dup(listener.sock.fileno()))
+                log.info("listening socket passed", address=address)
+
     def close(self) -> None:
         """Close the listening sockets; established connections stay open."""
         for listener in self.listeners:
--- a/lilacfront/server/operations_host.py
+++ b/lilacfront/server/operations_host.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from lilacfront.operations.learned_state import export_learned_state, import_learned_state
+from lilacfront.operations.transfer_messages import ListenerRequested
 
 if TYPE_CHECKING:
     from lilacfront.decisions.events import EndpointList
@@ -58,8 +59,11 @@
         self._server.platform_frontend.keys.begin(successor)
 
     def on_message(self, channel: TransferChannel, message: Message, descriptor: int | None) -> None:
-        """Pass a message about a connection to the platform frontend."""
-        self._server.platform_frontend.on_message(channel, message, descriptor)
+        """Pass a message about a connection to the platform frontend, and one about a socket to its owner."""
+        if isinstance(message, ListenerRequested):
+            self._server.clients.pass_listener(channel, (message.host, message.port))
+        else:
+            self._server.platform_frontend.on_message(channel, message, descriptor)
 
     def on_channel_closed(self, channel: TransferChannel) -> None:
         """Notify the platform frontend that a channel has closed."""
--- a/lilacfront/server/server.py
+++ b/lilacfront/server/server.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import errno
 import gc
 import signal
+import socket
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
@@ -16,6 +18,7 @@
 from lilacfront.logs import Log
 from lilacfront.membership.service import MemberConfig, MembershipHooks, MembershipService
 from lilacfront.operations.drain import Drain
+from lilacfront.operations.listener_request import request_listener
 from lilacfront.operations.service import Operations
 from lilacfront.sched import Loop
 from lilacfront.server.builders import ProcessLimits, build_dispatcher, build_upstream, client_names
@@ -225,7 +228,26 @@
             self.operations,
         )
         with os_error_as_start_error("clickhouse.listen", clickhouse.listen_address):
-            self.listeners.append(frontend.listen(clickhouse.listen_address, max_connections))
+            self.listeners.append(self._listen_or_share(frontend, clickhouse.listen_address, max_connections))
+
+    def _listen_or_share(
+        self, frontend: ClickHouseFrontend, address: tuple[str, int], max_connections: int
+    ) -> Listener:
+        """Listen at an address; if the process that this one replaces does, share its socket.
+
+        Raises:
+            OSError: The address can't be used.
+        """
+        try:
+            return frontend.listen(address, max_connections)
+        except OSError as error:
+            directory = self.config.state_directory
+            if error.errno != errno.EADDRINUSE or directory is None:
+                raise
+            descriptor = request_listener(directory, self.config.name, address)
+            if descriptor is None:
+                raise
+            return frontend.listen(address, max_connections, socket.socket(fileno=descriptor))
 
     def _start_membership(self) -> None:
         config = self.config
