--- a/lilacfront/sched/lingering.py
+++ b/lilacfront/sched/lingering.py
@@ -2,19 +2,15 @@
 
 from __future__ import annotations
 
-import fcntl
 import socket
-import struct
-import termios
 from collections.abc import Callable
 from dataclasses import dataclass
 
 from lilacfront.sched.loop import Loop, Task, Wait
+from lilacfront.sched.socket_state import unacknowledged_bytes
 
 # The most bytes that are read and discarded from a peer that keeps sending after the half-close.
 MAX_DISCARDED_BYTES = 1 << 20
-INT = struct.Struct("i")
-FIN_LENGTH = 1  # the end of the output counts as one byte
 
 
 @dataclass(slots=True, frozen=True)
@@ -32,12 +28,6 @@
     until: float
 
 
-def unacknowledged_bytes(sock: socket.socket) -> int:
-    """Count the bytes of a half-closed connection that the peer's system has not acknowledged."""
-    counted: int = INT.unpack(fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(INT.size)))[0]
-    return max(0, counted - FIN_LENGTH)
-
-
 class Lingering:
     """Discards the input of a half-closed connection until it can be closed."""
 
--- a/lilacfront/sched/stream.py
+++ b/lilacfront/sched/stream.py
@@ -18,8 +18,9 @@
 from collections.abc import Callable
 from enum import Enum
 
+from lilacfront.sched import socket_state
 from lilacfront.sched.chunk import Chunk
-from lilacfront.sched.lingering import Lingering, RejectedInput, unacknowledged_bytes
+from lilacfront.sched.lingering import Lingering, RejectedInput
 from lilacfront.sched.loop import Loop, Task, Wait
 from lilacfront.sched.send_budget import SendBudget
 from lilacfront.sched.send_queue import SendQueue
@@ -130,22 +131,25 @@
         except OSError:
             return ConnectFailure.NO_DESCRIPTOR
         stream = cls(loop, sock, max_queued_bytes, budget)
-        code = sock.connect_ex(address)
-        if code == errno.EINPROGRESS:
-            stream._connector = task
-            stream._update_watch()
-            ended = loop.wait(task, until)
-            stream._connector = None
-            if isinstance(ended, Wait):
-                stream.close()
-                return ConnectFailure.TIMED_OUT_OR_INTERRUPTED
-            code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-        if code:
+        failure = stream._connect(task, address, until)
+        if failure is not None:
             stream.close()
-            return ConnectFailure.REFUSED
+            return failure
         stream._update_watch()
         return stream
 
+    def _connect(self, task: Task, address: tuple[str, int], until: float) -> ConnectFailure | None:
+        code = self.sock.connect_ex(address)
+        if code == errno.EINPROGRESS:
+            self._connector = task
+            self._update_watch()
+            ended = self.loop.wait(task, until)
+            self._connector = None
+            if isinstance(ended, Wait):
+                return ConnectFailure.TIMED_OUT_OR_INTERRUPTED
+            code = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        return ConnectFailure.REFUSED if code else None
+
     def _update_watch(self) -> None:
         """Watch the socket for the events that a task or the queue is waiting for."""
         if self._is_released:
@@ -219,38 +223,16 @@
         return ended if isinstance(ended, Wait) else None
 
     def is_open_by_peek(self) -> bool:
-        """Whether the connection is open according to a peek at the next unread byte.
-
-        A close by the peer is not detected while bytes before it are unread.
-        """
-        try:
-            return not self.closed and bool(self.sock.recv(1, socket.MSG_PEEK))
-        except BlockingIOError:
-            return True
-        except OSError:
-            return False
+        """Whether the connection is open according to a peek; see `socket_state.is_open_by_peek`."""
+        return not self.closed and socket_state.is_open_by_peek(self.sock)
 
     def is_open_by_poll(self) -> bool:
-        """Whether the connection is open according to poll.
-
-        A close by the peer is detected even while bytes before it are unread.
-        """
-        if self.closed:
-            return False
-        poll = select.poll()
-        poll.register(self.sock.fileno(), select.POLLRDHUP)
-        return not poll.poll(0)
+        """Whether the connection is open according to poll; see `socket_state.is_open_by_poll`."""
+        return not self.closed and socket_state.is_open_by_poll(self.sock)
 
     def is_idle(self) -> bool:
         """Whether the connection is open and has no unread bytes."""
-        try:
-            if not self.closed:
-                self.sock.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return True
-        except OSError:
-            pass
-        return False  # closed, by either side, or with an unread byte
+        return not self.closed and socket_state.is_idle(self.sock)
 
     @property
     def queued_bytes(self) -> int:
@@ -439,7 +421,9 @@
         That is so once the peer's system has acknowledged all of them, unless the peer is still sending the
         rest of a message that was rejected: it may read only after that.
         """
-        return self._is_released or (not self._is_rejecting and not unacknowledged_bytes(self.sock))
+        return self._is_released or (
+            not self._is_rejecting and not socket_state.unacknowledged_bytes(self.sock)
+        )
 
     def _wake_tasks(self) -> None:
         if self._reader is not None:
--- a/tests/operations/test_ordered_handover.py
+++ b/tests/operations/test_ordered_handover.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from lilacfront.lab.test_bed import SETTINGS, ProcessTestBed, wait_until
+from lilacfront.lab.test_bed import SETTINGS, FrontEndProcess, ProcessTestBed, wait_until
 from lilacfront.lab.thrift_client import ThriftClient
 
 KEY, OTHER_KEY = b"7f3a9c21e0b4d655", b"7f3a9c21e0b4d656"
@@ -35,6 +35,22 @@
         processes.close()
 
 
+def start_load(test_bed: ProcessTestBed) -> tuple[ThriftClient, int]:
+    """Send the first load and wait until a warehouse has it, which does not answer yet."""
+    test_bed.suspend_answers()
+    client = ThriftClient(test_bed.address)
+    seqid = client.send_request(FIRST, "load", ordering_key=KEY)
+    wait_until(lambda: call_id(FIRST) in test_bed.received(), "the first load at a warehouse")
+    return client, seqid
+
+
+def start_successor(test_bed: ProcessTestBed, old: FrontEndProcess) -> FrontEndProcess:
+    """Start a second process, and wait until both know of each other."""
+    new = test_bed.start().wait_until_ready()
+    old.wait_for_log("front end processes changed", running=2)
+    return new
+
+
 # review/3, on a related path: both processes count as one front end, and the new one did not know the keys of
 # the requests that the old one still served.
 def test_new_process_sends_a_load_only_after_the_earlier_one_of_its_key_at_the_old_process(
@@ -42,12 +58,8 @@
 ) -> None:
     test_bed = ordered_test_bed
     old = test_bed.start().wait_until_ready()
-    test_bed.suspend_answers()
-    client = ThriftClient(test_bed.address)
-    first = client.send_request(FIRST, "load", ordering_key=KEY)
-    wait_until(lambda: call_id(FIRST) in test_bed.received(), "the first load at a warehouse")
-    new = test_bed.start().wait_until_ready()
-    old.wait_for_log("front end processes changed", running=2)
+    client, first = start_load(test_bed)
+    new = start_successor(test_bed, old)
     old.signal(signal.SIGTERM)
     new.wait_for_log("client connections adopted", count=1)
     second = client.send_request(SECOND, "load", ordering_key=KEY)
@@ -66,12 +78,8 @@
 def test_new_process_accepts_no_client_while_the_old_one_is_ready(ordered_test_bed: ProcessTestBed) -> None:
     test_bed = ordered_test_bed
     old = test_bed.start().wait_until_ready()
-    test_bed.suspend_answers()
-    client = ThriftClient(test_bed.address)
-    first = client.send_request(FIRST, "load", ordering_key=KEY)
-    wait_until(lambda: call_id(FIRST) in test_bed.received(), "the first load at a warehouse")
-    new = test_bed.start().wait_until_ready()
-    old.wait_for_log("front end processes changed", running=2)
+    client, first = start_load(test_bed)
+    new = start_successor(test_bed, old)
     old.signal(signal.SIGSTOP)  # so that only the new process could accept
     other = ThriftClient(test_bed.address)
     second = other.send_request(SECOND, "load", ordering_key=KEY)
@@ -93,13 +101,9 @@
 ) -> None:
     test_bed = ordered_test_bed
     old = test_bed.start().wait_until_ready()
-    test_bed.suspend_answers()
-    client = ThriftClient(test_bed.address)
-    first = client.send_request(FIRST, "load", ordering_key=KEY)
+    client, first = start_load(test_bed)
     client.sock.sendall(LONG_PARTIAL_MESSAGE)
-    wait_until(lambda: call_id(FIRST) in test_bed.received(), "the first load at a warehouse")
-    new = test_bed.start().wait_until_ready()
-    old.wait_for_log("front end processes changed", running=2)
+    new = start_successor(test_bed, old)
     old.signal(signal.SIGTERM)
     new.wait_for_log("process state received", stage="leaving")
     other = ThriftClient(test_bed.address)
@@ -119,12 +123,8 @@
     """Guards against keys that stay held because the process that announced them has died."""
     test_bed = ordered_test_bed
     old = test_bed.start().wait_until_ready()
-    test_bed.suspend_answers()
-    client = ThriftClient(test_bed.address)
-    client.send_request(FIRST, "load", ordering_key=KEY)
-    wait_until(lambda: call_id(FIRST) in test_bed.received(), "the first load at a warehouse")
-    new = test_bed.start().wait_until_ready()
-    old.wait_for_log("front end processes changed", running=2)
+    start_load(test_bed)
+    new = start_successor(test_bed, old)
     old.signal(signal.SIGTERM)
     new.wait_for_log("process state received", stage="leaving")
     old.signal(signal.SIGKILL)
