Limits for bodies fit the memory limit; a body that comes too early gets 503

Cause: each budget was bounded, their sum was not.

Change: at the start the limits for bodies are lowered to what fits beside queues, incomplete messages and the idle process; a warning names the keys. What does not fit beside others is rejected with 503 and Retry-After, at its head if it has a length.

--- a/lilacfront/cli.py
+++ b/lilacfront/cli.py
@@ -17,6 +17,7 @@
 from lilacfront.config import Config, ConfigError, load
 from lilacfront.config.loader import ConfigPaths
 from lilacfront.server import Server, StartError
+from lilacfront.server.body_limits import fit_body_limits
 
 Command = TypeVar("Command", bound=Callable[..., Any])
 
@@ -177,7 +178,7 @@
         main_options: dict[str, Any] = ctx.parent.params if ctx.parent is not None else {}
         logs.configure(main_options.get("log_format", "console"), "info")
     paths = ConfigPaths(gateway, teams, peers, recovery)
-    config = _load_config(paths)
+    config = fit_body_limits(_load_config(paths))
     try:
         server = Server(config, read_config=partial(load, paths))
     except StartError as error:
@@ -189,7 +190,7 @@
 @config_options
 def check_config(gateway: Path, teams: Path, peers: Path, recovery: Path) -> None:
     """Check the configuration and print the first error."""
-    config = _load_config(ConfigPaths(gateway, teams, peers, recovery))
+    config = fit_body_limits(_load_config(ConfigPaths(gateway, teams, peers, recovery)))
     name = config.name or "lilacfront"
     click.echo(f"{name}: {len(config.class_names)} classes, listens at {config.listen_address}")
 
--- a/lilacfront/frontends/clickhouse_connection.py
+++ b/lilacfront/frontends/clickhouse_connection.py
@@ -13,7 +13,7 @@
     encode_rejection,
     encode_text,
 )
-from lilacfront.frontends.clickhouse_reader import IDLE_TIMEOUT_S, RequestReader
+from lilacfront.frontends.clickhouse_reader import IDLE_TIMEOUT_S, BodiesExceededError, RequestReader
 from lilacfront.frontends.clickhouse_request_parser import HttpRequest, parse_request
 from lilacfront.frontends.clickhouse_result import StreamedResult
 from lilacfront.frontends.clickhouse_services import ClickHouseServices
@@ -26,6 +26,7 @@
 MIN_BACKOFF_S = 0.1  # delay after the first invalid request; doubles with each one up to MAX_BACKOFF_S
 MAX_BACKOFF_S = 0.8
 CONNECTED_CHECK_INTERVAL_S = 0.05  # time between checks for a disconnect while nothing is read
+BODIES_RETRY_AFTER_S = b"1"  # a load takes about this long
 FINISH_TIMEOUT_S = 1.0  # time for the client to receive the last answer
 
 
@@ -64,6 +65,11 @@
         try:
             while not self._stream.closed and self._serve_next(task):
                 pass
+        except BodiesExceededError as error:
+            rejected_body = self._reader.rejected_body
+            code = ErrorCode.TOO_MANY_SIMULTANEOUS_QUERIES
+            text, headers = str(error).encode(), [(b"Retry-After", BODIES_RETRY_AFTER_S)]
+            self._write_error(encode_error(error.status, code, text, keep_alive=False, extra_headers=headers))
         except http1.HttpError as error:
             rejected_body = self._reader.rejected_body
             text = str(error).encode()
--- a/lilacfront/frontends/clickhouse_reader.py
+++ b/lilacfront/frontends/clickhouse_reader.py
@@ -17,6 +17,13 @@
 BODY_TOO_LARGE = "the body is larger than this gateway takes"
 
 
+class BodiesExceededError(http1.HttpError):
+    """The body would be accepted if there were fewer others in hand."""
+
+    def __init__(self) -> None:
+        super().__init__(503, "too many bodies are in hand")
+
+
 class RequestReader:
     """Reads one request after the other and enforces the limits on time and memory."""
 
@@ -101,8 +108,8 @@
         self._slot.mark_busy()
         self._deadline = self._loop.now + BODY_TIMEOUT_S
         length = head.get(b"content-length")
-        if length and int(length) > self._bodies.max_body_bytes:
-            raise http1.HttpError(413, BODY_TOO_LARGE)
+        if length:
+            self._check_size(int(length), self._bodies.available_bytes - int(length))
         if head.get(b"expect").lower() == b"100-continue":
             self._stream.write(http1.CONTINUE)
 
@@ -138,5 +145,11 @@
         """
         self._bodies.available_bytes -= size - self._accounted_bytes
         self._accounted_bytes = size
-        if size and (size > self._bodies.max_body_bytes or self._bodies.available_bytes < 0):
+        if size:
+            self._check_size(size, self._bodies.available_bytes)
+
+    def _check_size(self, size: int, available_bytes: int) -> None:
+        if size > self._bodies.max_body_bytes:
             raise http1.HttpError(413, BODY_TOO_LARGE)
+        if available_bytes < 0:
+            raise BodiesExceededError
