A body as large as the budget fits; a paused process counts as serving

A body whose length is all of the budget was rejected for ever, as its first bytes were counted twice; after a pause that ends during a replacement both processes accepted clients. Change: the check at the head leaves out the connection's own bytes; a process that is paused keeps its successor from accepting, as one that is ready does. Measured: tests/server/test_body_limits.py and tests/crossings/test_large_loads.py pass.

--- a/lilacfront/frontends/clickhouse_reader.py
+++ b/lilacfront/frontends/clickhouse_reader.py
@@ -109,7 +109,8 @@
         self._deadline = self._loop.now + BODY_TIMEOUT_S
         length = head.get(b"content-length")
         if length:
-            self._check_size(int(length), self._bodies.available_bytes - int(length))
+            without_own_bytes = self._bodies.available_bytes + self._accounted_bytes
+            self._check_size(int(length), without_own_bytes - int(length))
         if head.get(b"expect").lower() == b"100-continue":
             self._stream.write(http1.CONTINUE)
 
--- a/lilacfront/operations/service.py
+++ b/lilacfront/operations/service.py
@@ -84,7 +84,7 @@
         self._published_stage: LifecycleStage | None = None
         self._shutting_down = False
         self._handed_over = False
-        self._may_accept = False  # whether there was a time without another process that is ready
+        self._may_accept = False  # whether there was a time without another process that serves clients
 
     # ---- lifecycle ----------------------------------------------------------------------------------
     def start(self) -> None:
@@ -241,8 +241,9 @@
     def on_processes_changed(self) -> None:
         """Divide the limits by the number of running processes, and start or stop accepting clients.
 
-        While another process is ready, this one accepts no clients before the other shuts down, since neither
-        knows which ordering keys are in use at the other; nor does it while it is starting again.
+        While another process serves clients, this one accepts none before the other shuts down, since neither
+        knows which ordering keys are in use at the other. It does not either while it is starting again and
+        another one is ready.
         """
         stages = self.group.registry.stages()
         running = 1 + len(stages)
@@ -254,7 +255,8 @@
         if self._shutting_down:
             return
         is_other_ready = LifecycleStage.READY.value in stages.values()
-        self._may_accept = self._may_accept or not is_other_ready
+        is_other_serving = is_other_ready or LifecycleStage.PAUSED.value in stages.values()
+        self._may_accept = self._may_accept or not is_other_serving
         is_started = self.stage() is not LifecycleStage.STARTING
         self.drain_controller.set_accepting(self._may_accept and (is_started or not is_other_ready))
 
--- a/tests/crossing_harness.py
+++ b/tests/crossing_harness.py
@@ -248,6 +248,17 @@
     return harness.actors[name]
 
 
+def send_all(harness: Harness, client: Actor, data: bytes) -> None:
+    """Send a request that does not fit the socket's buffer."""
+    assert client.connection is not None
+    unsent = memoryview(data)
+    while unsent:
+        try:
+            unsent = unsent[client.connection.send(unsent) :]
+        except BlockingIOError:
+            harness.turn()
+
+
 class SocketWithShutdownHook:
     """A socket that calls a hook before each `shutdown`, so that a test can send bytes at that moment."""
 
--- a/tests/crossings/test_large_loads.py
+++ b/tests/crossings/test_large_loads.py
@@ -12,6 +12,7 @@
     connect_reader,
     open_connections,
     running_harness,
+    send_all,
 )
 from play import SETTINGS, Actor, Harness, Http
 
@@ -35,17 +36,6 @@
     return request(tag, statement + LOAD_ROW * LOAD_ROWS)
 
 
-def send_all(harness: Harness, client: Actor, data: bytes) -> None:
-    """Send a request that does not fit the socket's buffer."""
-    assert client.connection is not None
-    unsent = memoryview(data)
-    while unsent:
-        try:
-            unsent = unsent[client.connection.send(unsent) :]
-        except BlockingIOError:
-            harness.turn()
-
-
 def slow_down_warehouses(harness: Harness) -> None:
     """Let the warehouses accept few bytes at a time, so that most of a load is queued."""
     for name in WAREHOUSES:
--- a/tests/server/test_body_limits.py
+++ b/tests/server/test_body_limits.py
@@ -5,7 +5,7 @@
 import json
 
 import pytest
-from crossing_harness import STATEMENT, running_harness
+from crossing_harness import STATEMENT, received_by_warehouses, running_harness, send_all
 from play import SETTINGS, Http
 from play.settings import GATEWAY
 
@@ -38,6 +38,19 @@
         assert first.received == b""
 
 
+def test_body_as_large_as_the_budget_is_accepted() -> None:
+    """Guards against a body whose first bytes are counted twice, so that it never fits."""
+    with running_harness(SmallBodies, settings=CAPACITY) as harness:
+        client = harness.connect_client("C1")
+        statement = b"INSERT INTO reports FORMAT TabSeparated\n"
+        body = statement + bytes((1 << 20) - len(statement))
+        send_all(harness, client, head("whole", len(body)) + body)
+        harness.until(
+            lambda: b"query_id=whole" in received_by_warehouses(harness) or client.received, "the load"
+        )
+        assert client.received == b""
+
+
 def test_body_that_can_never_fit_is_too_large() -> None:
     with running_harness(SmallBodies, settings=CAPACITY) as harness:
         client = harness.connect_client("C1")
